Give the connections to backends a pool of their own, with bounds, queues and backoff

Need: backend.rs held idle connections in a map under one cap. It knew neither how many a backend bears nor how many gateways share it, dialled on each request's path, and learnt of a dead link by writing to it.

src/net/pool/book.rs keeps the books and knows no socket: last used first taken, a place in a bounded queue for who must wait, one dial for one waiter, a dial without a waiter to the pool, exponential backoff with jitter and one trial, distrust of idle links after two silent time-outs, retirement at an age by chance. bound.rs feels for what a backend bears (additive increase, multiplicative decrease), starting from its part by the number of gateways. src/net/pool.rs carries it out with sockets and timers. warm.rs and Gateway::may_warm open connections ahead of need; this is off unless the new `pool` section says otherwise. A checkout asks the system for unread bytes or an end, which the runtime may not have told yet. SIGTERM closes what is idle, SIGHUP takes new bounds.

Who waits for a connection that is settling, 5 ms at most, no longer dials another one.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,5 +1,6 @@
 //! What the platform tells a gateway: the environment and the configuration file.
 
+use super::pool::{Around, PoolSettings};
 use crate::settings::{flatten, Fields, Site};
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -11,6 +12,12 @@
 #[derive(Debug)]
 pub struct ConfigError(String);
 
+impl ConfigError {
+    pub(crate) fn new(line: String) -> ConfigError {
+        ConfigError(line)
+    }
+}
+
 impl fmt::Display for ConfigError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
@@ -85,6 +92,8 @@
     counter: Option<SocketAddr>,
     #[serde(default)]
     known: MemberList,
+    #[serde(default)]
+    pool: serde_json::Value,
     settings: serde_json::Value,
 }
 
@@ -105,13 +114,16 @@
     }
 }
 
-/// The services that a gateway calls, which a new configuration may move.
+/// What a new configuration may change: the services that a gateway calls, and the bounds on its connections to
+/// backends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Upstreams {
     /// Discovery.
     pub discovery: SocketAddr,
     /// The shared counter.
     pub counter: Option<SocketAddr>,
+    /// The bounds.
+    pub pool: PoolSettings,
 }
 
 impl fmt::Display for Upstreams {
@@ -156,12 +168,11 @@
     pub(crate) known: MemberList,
     pub(crate) site: Site,
     pub(crate) sockets: SocketLimits,
+    pub(crate) pool: PoolSettings,
     /// In bytes.
     pub(crate) memory: usize,
     /// An attempt's connection must be made within this.
     pub(crate) dial_timeout: std::time::Duration,
-    /// A backend closes a connection that stood idle for this long.
-    pub(crate) conn_idle: std::time::Duration,
 }
 
 /// How the descriptors are shared out, so that no kind of connection can starve another.
@@ -169,8 +180,10 @@
 pub struct SocketLimits {
     /// From clients.
     pub clients: usize,
-    /// To backends.
+    /// To backends, where the `pool` section names no number,
     pub backends: usize,
+    /// and the most that it may name.
+    pub backends_most: usize,
     /// To the counter, which resets more than 32.
     pub counter: usize,
 }
@@ -178,8 +191,10 @@
 impl SocketLimits {
     fn of(sockets: usize) -> SocketLimits {
         // The rest, at least a sixteenth, is for standard streams, the listener, epoll and discovery.
-        let counter = (sockets / 16).clamp(1, 32);
-        SocketLimits { clients: (sockets / 2).max(1), backends: (sockets / 4).max(1), counter }
+        let (clients, counter) = ((sockets / 2).max(1), (sockets / 16).clamp(1, 32));
+        let backends = (sockets / 4).max(1);
+        let backends_most = sockets.saturating_sub(clients + counter + sockets / 16).max(backends);
+        SocketLimits { clients, backends, backends_most, counter }
     }
 }
 
@@ -194,7 +209,7 @@
 
     /// The services that it names.
     pub fn upstreams(&self) -> Upstreams {
-        Upstreams { discovery: self.discovery, counter: self.counter }
+        Upstreams { discovery: self.discovery, counter: self.counter, pool: self.pool }
     }
 
     /// Reads a configuration; addresses from the environment go before its own.
@@ -220,17 +235,28 @@
         if site.settings.counter && document.counter.is_none() {
             return Err(missing("counter"));
         }
+        let dial_timeout = span("bounds.dial_timeout", 250_000)?;
+        let conn_idle = span("bounds.conn_idle", 15_000_000)?;
+        let sockets = SocketLimits::of(document.limits.sockets);
+        let around = Around {
+            links: sockets.backends,
+            links_most: sockets.backends_most,
+            gateways: site.settings.gateways,
+            sockets: document.limits.sockets,
+            dial_timeout,
+            conn_idle,
+        };
         Ok(Config {
+            pool: PoolSettings::read(&document.pool, &around)?,
             name: String::new(),
             listen: listen.or(document.listen).ok_or_else(|| missing("listen"))?,
             discovery: discovery.or(document.discovery).ok_or_else(|| missing("discovery"))?,
             counter: document.counter,
             seed,
             known: document.known,
-            dial_timeout: span("bounds.dial_timeout", 250_000)?,
-            conn_idle: span("bounds.conn_idle", 15_000_000)?,
+            dial_timeout,
             site,
-            sockets: SocketLimits::of(document.limits.sockets),
+            sockets,
             memory: document.limits.memory_mb.saturating_mul(1 << 20).min(1 << 32),
         })
     }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,9 +1,10 @@
 //! The one owner of the decision module: events in, actions out, timers. It translates and never chooses;
 //! its request table sees to it that every request gets exactly one final answer.
 
-use super::backend::{Backend, Ended, Forward, Pool};
+use super::backend::{attempt, Ended, Forward};
 use super::config::{Config, ConfigError, MemberList, Phase, Upstreams};
 use super::counter::{Counted, Counter, Order};
+use super::pool::{Backend, Pool};
 use crate::api::*;
 use crate::rules::Gateway;
 use crate::settings::Site;
@@ -15,13 +16,14 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{interval, sleep_until, Instant};
 use tracing::{debug, info};
 
 /// How many inputs may wait for the driver; whoever has one more waits with it.
 const INBOX: usize = 1024;
-/// How often connections that stand idle are looked at.
+/// How often connections that stand idle are looked at, and how often where some are opened ahead of need.
 const RETIRE_EVERY: Duration = Duration::from_secs(1);
+const WARM_EVERY: Duration = Duration::from_millis(250);
 
 /// How long a gateway that knows a list from before waits for news of it before it is ready.
 const WAIT_FOR_DISCOVERY: Duration = Duration::from_secs(1);
@@ -111,10 +113,11 @@
     }
 }
 
-/// Tells the driver of services that move.
-pub async fn follow(mut upstreams: watch::Receiver<Upstreams>, inbox: Inbox) {
+/// Tells the driver of services that move, and the pool of new bounds.
+pub async fn follow(mut upstreams: watch::Receiver<Upstreams>, inbox: Inbox, pool: Rc<Pool>) {
     while upstreams.changed().await.is_ok() {
-        let counter = upstreams.borrow_and_update().counter;
+        let Upstreams { counter, pool: bounds, .. } = *upstreams.borrow_and_update();
+        pool.configure(bounds);
         if inbox.send(Input::Counter(counter)).await.is_err() {
             return;
         }
@@ -148,7 +151,7 @@
 impl Driver {
     /// A driver that knows nothing yet but the configuration.
     pub fn new(config: Config, clock: Clock, ready: Rc<Cell<bool>>) -> Result<Driver, ConfigError> {
-        let Config { site, counter, sockets, seed, known, dial_timeout, conn_idle, .. } = config;
+        let Config { site, counter, sockets, seed, known, dial_timeout, pool, .. } = config;
         let must_subscribe = site.settings.must_subscribe;
         let gateway = Gateway::new(seed, site.settings.clone()).map_err(ConfigError::from)?;
         let (inbox, inputs) = mpsc::channel(INBOX);
@@ -162,7 +165,7 @@
             site,
             inbox,
             inputs,
-            pool: Rc::new(Pool::new(sockets.backends, dial_timeout, conn_idle)),
+            pool: Pool::new(pool, dial_timeout, seed),
             counter: counter.map(&counter_at),
             counter_at,
             order: Order::default(),
@@ -189,16 +192,15 @@
         self.inbox.clone()
     }
 
+    /// The connections to backends.
+    pub fn pool(&self) -> Rc<Pool> {
+        self.pool.clone()
+    }
+
     /// Runs for ever. Like the simulator it tells the module what has come in at most once a tick.
     pub async fn run(mut self) {
-        let pool = self.pool.clone();
-        tokio::task::spawn_local(async move {
-            loop {
-                tokio::time::sleep(RETIRE_EVERY).await;
-                pool.retire();
-            }
-        });
         let mut last = Instant::now();
+        let [mut retire, mut warm] = [RETIRE_EVERY, WARM_EVERY].map(interval);
         loop {
             let due = match self.timers.peek() {
                 _ if !self.batch.is_empty() => Some(last + self.tick),
@@ -214,6 +216,8 @@
                 () = sleep_until(self.ready_at.unwrap_or_else(Instant::now)), if self.ready_at.is_some() => {
                     self.become_ready();
                 }
+                _ = retire.tick() => self.pool.retire(),
+                _ = warm.tick(), if self.pool.settings().warm_up => self.warm_up(),
                 input = self.inputs.recv() => {
                     let mut next = input;
                     while let Some(input) = next {
@@ -225,6 +229,16 @@
         }
     }
 
+    /// Opens connections ahead of need, where the module would send to their backends.
+    fn warm_up(&mut self) {
+        let now = self.clock.now();
+        let (pool, gateway) = (&self.pool, &mut self.gateway);
+        let wanting = self.backends.iter().filter(|(_, backend)| pool.wants_more(backend));
+        let wanting: Vec<_> = wanting.filter(|(&id, _)| gateway.may_warm(now, id)).collect();
+        let backends: Vec<Rc<Backend>> = wanting.into_iter().map(|(_, backend)| backend.clone()).collect();
+        self.pool.warm_up(&backends, WARM_EVERY);
+    }
+
     /// Tells the module all that has come in and carries out what it decides.
     fn turn(&mut self) {
         let now = self.clock.now();
@@ -322,7 +336,8 @@
             if listed != Listed::InService {
                 self.backends.remove(&server).into_iter().for_each(|b| self.pool.close(&b));
             } else if !self.backends.get(&server).is_some_and(stays) {
-                let new = Rc::new(self.pool.backend(address, up_since_ms));
+                let follows = self.backends.get(&server).map(|old| &**old);
+                let new = Rc::new(self.pool.backend(address, up_since_ms, follows));
                 self.backends.insert(server, new).into_iter().for_each(|b| self.pool.close(&b));
             }
             entries.push(ServerEntry {
@@ -391,22 +406,22 @@
 
     fn send(&mut self, now: Micros, id: RequestId, server: ServerId, until: Micros) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        let attempt = open.attempts.len();
+        let number = open.attempts.len();
         let backend = self.backends.get(&server).filter(|_| open.reply.is_some()).cloned();
         let Some(backend) = backend else {
             // The client went, or the list changed, after the module was told last.
             open.attempts.push(Attempt { out: false, call_off: None });
-            return self.ended(id, attempt, server, Outcome::Moot, Report::default(), Micros(0));
+            return self.ended(id, number, server, Outcome::Moot, Report::default(), Micros(0));
         };
         let (call_off, called_off) = oneshot::channel();
         open.attempts.push(Attempt { out: true, call_off: Some(call_off) });
         let (pool, forward, inbox) = (self.pool.clone(), open.forward.clone(), self.inbox.clone());
         let (until, clock) = (self.clock.instant(until), self.clock);
         tokio::task::spawn_local(async move {
-            let ended = pool.attempt(&backend, &forward, until, called_off).await;
+            let ended = attempt(&pool, &backend, &forward, until, called_off).await;
             let took = clock.now() - now;
             // The driver outlives every attempt but for the exit of the process.
-            let _ = inbox.send(Input::Ended(id, attempt, server, ended, took)).await;
+            let _ = inbox.send(Input::Ended(id, number, server, ended, took)).await;
         });
     }
 
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -7,9 +7,11 @@
 use hyper::client::conn::http1;
 use hyper::{header, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -39,41 +41,69 @@
     Broken,
 }
 
-/// A socket that remembers whether anything was written to it.
+/// What went over a connection since its present call began.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    wrote: Cell<bool>,
+    heard: Cell<bool>,
+}
+
+impl Traffic {
+    /// Whether a byte came back.
+    pub fn heard(&self) -> bool {
+        self.heard.get()
+    }
+}
+
+/// A socket that remembers whether anything was written to it or came back. It is shared with who wants to
+/// look at it between calls.
 struct Metered {
-    stream: TcpStream,
-    wrote: Rc<Cell<bool>>,
+    stream: Rc<RefCell<TcpStream>>,
+    traffic: Rc<Traffic>,
+}
+
+impl Metered {
+    /// Polls the stream itself.
+    fn with<T>(&self, poll: impl FnOnce(Pin<&mut TcpStream>) -> T) -> T {
+        poll(Pin::new(&mut *self.stream.borrow_mut()))
+    }
+    fn note(&self, done: &Poll<io::Result<usize>>) {
+        self.traffic.wrote.set(self.traffic.wrote.get() || matches!(done, Poll::Ready(Ok(n)) if *n > 0));
+    }
 }
 
 impl AsyncRead for Metered {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let done = self.with(|stream| stream.poll_read(cx, buf));
+        self.traffic.heard.set(self.traffic.heard.get() || buf.filled().len() > before);
+        done
     }
 }
 
 impl AsyncWrite for Metered {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.wrote.set(self.wrote.get() || matches!(done, Poll::Ready(Ok(n)) if n > 0));
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let done = self.with(|stream| stream.poll_write(cx, buf));
+        self.note(&done);
         done
     }
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context,
         bufs: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.wrote.set(self.wrote.get() || matches!(done, Poll::Ready(Ok(n)) if n > 0));
+        let done = self.with(|stream| stream.poll_write_vectored(cx, bufs));
+        self.note(&done);
         done
     }
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.borrow().is_write_vectored()
     }
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        self.with(|stream| stream.poll_flush(cx))
     }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        self.with(|stream| stream.poll_shutdown(cx))
     }
 }
 
@@ -81,7 +111,8 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     machine: Pin<Box<http1::Connection<TokioIo<Metered>, Full<Bytes>>>>,
-    wrote: Rc<Cell<bool>>,
+    stream: Rc<RefCell<TcpStream>>,
+    traffic: Rc<Traffic>,
     closed: bool,
     /// When it was last given back unused.
     pub idle_since: Instant,
@@ -95,8 +126,8 @@
 
     async fn over(stream: TcpStream) -> io::Result<Connection> {
         send_at_once(&stream);
-        let wrote = Rc::new(Cell::new(false));
-        let metered = TokioIo::new(Metered { stream, wrote: wrote.clone() });
+        let (stream, traffic) = (Rc::new(RefCell::new(stream)), Rc::<Traffic>::default());
+        let metered = TokioIo::new(Metered { stream: stream.clone(), traffic: traffic.clone() });
         let (sender, machine) = http1::Builder::new()
             .max_buf_size(2 * MAX_BODY)
             .handshake(metered)
@@ -105,7 +136,8 @@
         Ok(Connection {
             sender,
             machine: Box::pin(machine),
-            wrote,
+            stream,
+            traffic,
             closed: false,
             idle_since: Instant::now(),
         })
@@ -117,9 +149,17 @@
         !self.closed && self.sender.is_ready()
     }
 
-    /// Whether anything of the present call was written.
-    pub fn wrote(&self) -> bool {
-        self.wrote.get()
+    /// Whether the system holds nothing unread for it. Guards against writing a request behind a close, an
+    /// error or stray bytes that the runtime has not told of yet.
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit(); 1];
+        let unread = SockRef::from(&*self.stream.borrow()).peek(&mut byte);
+        unread.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// What went over it since its present call began.
+    pub fn traffic(&self) -> Rc<Traffic> {
+        self.traffic.clone()
     }
 
     fn turn(&mut self, cx: &mut Context) {
@@ -143,10 +183,11 @@
 
     /// Makes one call and reads the whole answer. After an error the connection is of no further use.
     pub async fn call(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, CallError> {
-        self.wrote.set(false);
+        self.traffic.wrote.set(false);
+        self.traffic.heard.set(false);
         let sending = self.sender.try_send_request(request);
         let head = self.drive(sending).await;
-        let failed = if self.wrote.get() { CallError::Broken } else { CallError::NotSent };
+        let failed = if self.traffic.wrote.get() { CallError::Broken } else { CallError::NotSent };
         let (head, body) = head.and_then(Result::ok).ok_or(failed)?.into_parts();
         // Guards against spoilt answers, of which a part would pass for the whole: two lengths, none (so that any
         // end of the connection looks like its own), or more than any answer has, which may keep coming for long.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod discovery;
 pub mod driver;
 pub mod http;
+pub mod pool;
 pub mod server;
 
 use backoff::Backoff;
@@ -68,12 +69,18 @@
     let held = (asks && !config.known.members.is_empty()).then_some(config.known.revision);
     let bodies = config.memory / BODIES_PART;
     let driver = Driver::new(config, clock, ready.clone()).map_err(RunError::Config)?;
-    let inbox = driver.inbox();
+    let (inbox, pool) = (driver.inbox(), driver.pool());
     let listener = TcpListener::bind(listen).await.map_err(|e| RunError::Listen(listen, e))?;
     let address = listener.local_addr().map_err(|e| RunError::Listen(listen, e))?;
     info!(name, %address, "listening");
     tokio::task::spawn_local(discovery::watch(upstreams.clone(), inbox.clone(), backoff, held));
-    tokio::task::spawn_local(driver::follow(upstreams, inbox.clone()));
+    tokio::task::spawn_local(driver::follow(upstreams, inbox.clone(), pool.clone()));
+    let mut stop = stopping.clone();
+    tokio::task::spawn_local(async move {
+        if stop.wait_for(|stop| *stop).await.is_ok() {
+            pool.stop();
+        }
+    });
     let driving = tokio::task::spawn_local(driver.run());
     let (open, last, bodies) = (Default::default(), Default::default(), Semaphore::new(bodies));
     let front = Front {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -905,6 +905,16 @@
         }
     }
 
+    /// Whether a connection to a server may be opened ahead of need: one in service against which nothing is
+    /// held, and while it is cold, only as far as this gateway has leave to send to it.
+    pub fn may_warm(&mut self, now: Micros, server: ServerId) -> bool {
+        self.now = self.now.max(now);
+        self.warm_up();
+        let fit = |s: &Server| s.listed && self.healthy(s) && !s.trial;
+        let cold = |s: &Server| s.cold_since.is_some() && s.cold_room.level <= 0.0;
+        self.servers.get(&server).is_some_and(|s| fit(s) && !cold(s))
+    }
+
     fn on_servers(&mut self, scope: ListScope, entries: Vec<ServerEntry>) {
         if scope == ListScope::Lost {
             let wait = Micros(500_000 + self.rng.u64(0..500_000));
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -3,8 +3,13 @@
 mod world;
 
 use starlinghill::api::Outcome;
-use starlinghill::net::backend::{Backend, Ended, Forward, Pool};
-use std::sync::atomic::{AtomicBool, Ordering};
+use starlinghill::net::backend::{Ended, Forward};
+use starlinghill::net::pool::{Around, Backend, Pool, PoolSettings};
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -15,8 +20,14 @@
 /// After this a connection that was given back may be used again.
 const SETTLED: Duration = Duration::from_millis(10);
 
+/// A pool of so many connections, with the bounds that a gateway alone before its backends has by default.
+fn pool(links: usize, dial_timeout: Duration, conn_idle: Duration) -> Rc<Pool> {
+    let around = Around { links, links_most: links, gateways: 1, sockets: 1024, dial_timeout, conn_idle };
+    Pool::new(PoolSettings::read(&serde_json::Value::Null, &around).expect("defaults"), dial_timeout, 1)
+}
+
 fn backend(pool: &Pool, stub: &Stub) -> Backend {
-    pool.backend(stub.address, 0)
+    pool.backend(stub.address, 0, None)
 }
 
 fn post() -> Forward {
@@ -25,15 +36,15 @@
 }
 
 /// An attempt that may take so long and is never called off.
-async fn attempt(pool: &Pool, backend: &Backend, limit: Duration) -> Ended {
+async fn attempt(pool: &Rc<Pool>, backend: &Backend, limit: Duration) -> Ended {
     let (_call_off, called_off) = oneshot::channel();
-    pool.attempt(backend, &post(), Instant::now() + limit, called_off).await
+    starlinghill::net::backend::attempt(pool, backend, &post(), Instant::now() + limit, called_off).await
 }
 
 #[test]
 fn a_drain_stops_an_attempt_whose_connection_has_just_come_up() {
     let stub = Stub::start(|_| http("200 OK", "ok"));
-    let pool = Pool::new(8, LONG, LONG);
+    let pool = pool(8, LONG, LONG);
     let backend = backend(&pool, &stub);
     backend.open.set(false);
     let ended = on_runtime(attempt(&pool, &backend, LONG));
@@ -49,7 +60,7 @@
         0 => http("200 OK", "ok"),
         _ => Reply::RawThenClose(String::new()),
     });
-    let pool = Pool::new(8, LONG, LONG);
+    let pool = pool(8, LONG, LONG);
     let backend = backend(&pool, &stub);
     on_runtime(async {
         assert_eq!(attempt(&pool, &backend, LONG).await.outcome, Outcome::Ok);
@@ -64,14 +75,15 @@
 #[test]
 fn an_attempt_given_up_or_called_off_leaves_no_connection_open() {
     let stub = Stub::start(|_| Reply::Silence);
-    let pool = Pool::new(8, LONG, LONG);
+    let pool = pool(8, LONG, LONG);
     let backend = backend(&pool, &stub);
     on_runtime(async {
         let ended = attempt(&pool, &backend, Duration::from_millis(50)).await;
         assert_eq!(ended.outcome, Outcome::Timeout);
         let (call_off, called_off) = oneshot::channel();
         let forward = post();
-        let out = pool.attempt(&backend, &forward, Instant::now() + LONG, called_off);
+        let until = Instant::now() + LONG;
+        let out = starlinghill::net::backend::attempt(&pool, &backend, &forward, until, called_off);
         let (ended, ()) = tokio::join!(out, async {
             while stub.requests().len() < 2 {
                 tokio::time::sleep(Duration::from_millis(1)).await;
@@ -86,19 +98,19 @@
 #[test]
 fn an_unreachable_backend_never_ran_anything() {
     let gone = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
-    let pool = Pool::new(8, LONG, LONG);
-    let backend = pool.backend(gone, 0);
+    let pool = pool(8, LONG, LONG);
+    let backend = pool.backend(gone, 0, None);
     assert_eq!(on_runtime(attempt(&pool, &backend, LONG)).outcome, Outcome::ConnectFailed);
 }
 
 #[test]
 fn idle_connections_are_retired_before_the_backend_closes_them() {
     let stub = Stub::start(|_| http("200 OK", "ok"));
-    let pool = Pool::new(8, LONG, Duration::from_millis(40));
+    let pool = pool(8, LONG, Duration::from_millis(40));
     let backend = backend(&pool, &stub);
     on_runtime(async {
         assert_eq!(attempt(&pool, &backend, LONG).await.outcome, Outcome::Ok);
-        tokio::time::sleep(Duration::from_millis(25)).await;
+        tokio::time::sleep(Duration::from_millis(35)).await;
         pool.retire();
     });
     stub.wait_for("the idle connection's end", |log| log.closed == 1);
@@ -107,7 +119,7 @@
 #[test]
 fn the_number_of_connections_is_bounded() {
     let (busy, other) = (Stub::start(|_| Reply::Silence), Stub::start(|_| http("200 OK", "ok")));
-    let pool = Pool::new(1, LONG, LONG);
+    let pool = pool(1, LONG, LONG);
     let (to_busy, to_other) = (backend(&pool, &busy), backend(&pool, &other));
     on_runtime(async {
         // An idle connection gives way to one that is needed.
@@ -132,7 +144,7 @@
         }
         http("200 OK", "ok")
     });
-    let pool = Pool::new(8, LONG, LONG);
+    let pool = pool(8, LONG, LONG);
     let (old, new) = (backend(&pool, &stub), backend(&pool, &stub));
     on_runtime(async {
         let (ended, ()) = tokio::join!(attempt(&pool, &old, LONG), async {
@@ -163,7 +175,7 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok",
     ] {
         let stub = Stub::start(move |_| Reply::Raw(spoilt.into()));
-        let pool = Pool::new(8, LONG, LONG);
+        let pool = pool(8, LONG, LONG);
         let ended = on_runtime(attempt(&pool, &backend(&pool, &stub), LONG));
         assert_eq!((ended.outcome, ended.body), (Outcome::Reset, None), "{spoilt}");
         stub.wait_for("the connection's end", |log| log.closed == 1);
@@ -176,7 +188,7 @@
         let own = format!("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{}", request.connection);
         Reply::Raw(format!("HTTP/1.1 103 Early\r\n\r\n{own}HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"))
     });
-    let pool = Pool::new(8, LONG, LONG);
+    let pool = pool(8, LONG, LONG);
     let backend = backend(&pool, &stub);
     on_runtime(async {
         for own in ["0", "1", "2"] {
@@ -186,3 +198,173 @@
         }
     });
 }
+
+/// A backend of one connection at a time, each answered once; then it does to the socket what it is told to, says
+/// so, and the next connection comes in.
+fn crossing(
+    after: impl Fn(&mut std::net::TcpStream) + Send + 'static,
+) -> (SocketAddr, Sender<()>, Receiver<()>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let (go, told) = channel::<()>();
+    let (did, done) = channel::<()>();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut head = [0; 1024];
+            if !stream.read(&mut head).is_ok_and(|read| read > 0) {
+                continue;
+            }
+            let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+            if stream.write_all(answer).is_err() || told.recv().is_err() {
+                return;
+            }
+            after(&mut stream);
+            // What was done is in the other side's hands once this is told: loopback has no way between.
+            let _ = did.send(());
+            if told.recv().is_err() {
+                return;
+            }
+        }
+    });
+    (address, go, done)
+}
+
+#[test]
+fn a_close_or_stray_bytes_that_cross_the_checkout_cost_no_attempt() {
+    let ways: [fn(&mut std::net::TcpStream); 2] = [
+        |stream| stream.shutdown(std::net::Shutdown::Both).expect("it is open"),
+        |stream| stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx").expect("it is open"),
+    ];
+    for after in ways {
+        let (address, go, done) = crossing(after);
+        let pool = pool(8, LONG, LONG);
+        let backend = pool.backend(address, 0, None);
+        on_runtime(async {
+            assert_eq!(attempt(&pool, &backend, LONG).await.outcome, Outcome::Ok);
+            tokio::time::sleep(SETTLED).await;
+            go.send(()).expect("it runs");
+            // The runtime is not let go on meanwhile, so it can't have told anybody.
+            done.recv().expect("it was done");
+            let second = attempt(&pool, &backend, LONG);
+            go.send(()).expect("it runs");
+            let ended = second.await;
+            assert_eq!((ended.outcome, ended.body.as_deref()), (Outcome::Ok, Some(&b"ok"[..])));
+        });
+        let counters = pool.counters();
+        assert_eq!((counters.stale, counters.dials, counters.reused), (1, 2, 0));
+    }
+}
+
+#[test]
+fn once_a_backend_stays_silent_what_stands_idle_to_it_is_not_used() {
+    // Three answers, each held until all three are asked for; then nothing more on any connection.
+    let (asked, quiet) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
+    let (seen, silent) = (asked.clone(), quiet.clone());
+    let stub = Stub::start(move |_| {
+        seen.fetch_add(1, Ordering::SeqCst);
+        while seen.load(Ordering::SeqCst) < 3 {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        if silent.load(Ordering::SeqCst) {
+            Reply::Silence
+        } else {
+            http("200 OK", "ok")
+        }
+    });
+    let pool = pool(8, LONG, LONG);
+    let backend = backend(&pool, &stub);
+    on_runtime(async {
+        let all = tokio::join!(
+            attempt(&pool, &backend, LONG),
+            attempt(&pool, &backend, LONG),
+            attempt(&pool, &backend, LONG)
+        );
+        assert_eq!([all.0.outcome, all.1.outcome, all.2.outcome], [Outcome::Ok; 3]);
+        tokio::time::sleep(SETTLED).await;
+        quiet.store(true, Ordering::SeqCst);
+        for _ in 0..3 {
+            let ended = attempt(&pool, &backend, Duration::from_millis(30)).await;
+            assert_eq!(ended.outcome, Outcome::Timeout);
+        }
+    });
+    let connections: Vec<usize> = stub.requests()[3..].iter().map(|r| r.connection).collect();
+    assert!(connections[..2].iter().all(|&c| c < 3), "idle ones at first: {connections:?}");
+    assert_eq!(connections[2], 3, "then a new one, though one stands idle: {connections:?}");
+}
+
+#[test]
+fn a_thousand_attempts_called_off_at_any_moment_leave_nothing_open() {
+    let seen = AtomicUsize::new(0);
+    let stub = Stub::start(move |_| match seen.fetch_add(1, Ordering::SeqCst) % 4 {
+        0 | 3 => http("200 OK", "ok"),
+        1 => Reply::Silence,
+        _ => Reply::Raw("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf".into()),
+    });
+    let pool = pool(12, LONG, LONG);
+    let backend = backend(&pool, &stub);
+    let (backend, mut rng) = (Rc::new(backend), fastrand::Rng::with_seed(11));
+    on_runtime(async {
+        for _ in 0..100 {
+            let mut out = tokio::task::JoinSet::new();
+            for _ in 0..10 {
+                let (pool, backend, turns) = (pool.clone(), backend.clone(), rng.u32(0..400));
+                out.spawn_local(async move {
+                    let (call_off, called_off) = oneshot::channel();
+                    let (forward, until) = (post(), Instant::now() + LONG);
+                    let calling_off = async {
+                        for _ in 0..turns {
+                            tokio::task::yield_now().await;
+                        }
+                        // It may have ended by itself.
+                        let _ = call_off.send(());
+                    };
+                    let out =
+                        starlinghill::net::backend::attempt(&pool, &backend, &forward, until, called_off);
+                    tokio::join!(out, calling_off).0.outcome
+                });
+            }
+            let outcomes = out.join_all().await;
+            assert!(outcomes.iter().all(|o| *o != Outcome::Timeout), "{outcomes:?}");
+            assert!(pool.gauges().open() <= 12 && pool.gauges().waiting == 0, "{:?}", pool.gauges());
+        }
+        // Dials whose waiters went may still be on their way to the pool.
+        while pool.gauges().dialling > 0 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(pool.gauges().in_use, 0);
+        pool.close(&backend);
+        assert_eq!(pool.gauges().open(), 0);
+    });
+    let seen = pool.counters();
+    assert!(seen.dials > 20 && seen.used > 50, "attempts got as far as the backend: {seen:?}");
+    stub.wait_for("all connections' end", |log| log.closed == log.opened);
+}
+
+#[test]
+fn a_dial_that_hangs_holds_no_request_past_its_time_out_and_the_next_ones_not_at_all() {
+    // A socket that listens and never accepts, its queue full: further handshakes hang.
+    let listener =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    listener.bind(&any.into()).expect("a port");
+    listener.listen(0).expect("it listens");
+    let address = listener.local_addr().expect("bound").as_socket().expect("of IPv4");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let mut queue = Vec::new();
+        let dial_timeout = Duration::from_millis(250);
+        while let Ok(Ok(stream)) =
+            tokio::time::timeout(dial_timeout, tokio::net::TcpStream::connect(address)).await
+        {
+            queue.push(stream);
+        }
+        let pool = pool(8, dial_timeout, LONG);
+        let backend = pool.backend(address, 0, None);
+        let start = Instant::now();
+        assert_eq!(attempt(&pool, &backend, LONG).await.outcome, Outcome::ConnectFailed);
+        assert_eq!(start.elapsed().as_millis(), 250);
+        assert_eq!(attempt(&pool, &backend, LONG).await.outcome, Outcome::ConnectFailed);
+        assert_eq!(start.elapsed().as_millis(), 250, "told at once, within the pause");
+        assert_eq!((pool.counters().dials, pool.gauges().open()), (1, 0));
+    });
+}
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -1,7 +1,9 @@
 //! What a gateway asks discovery for.
 use starlinghill::net::backoff::Backoff;
 use starlinghill::net::config::Upstreams;
+use starlinghill::net::pool::{Around, PoolSettings};
 use starlinghill::net::{discovery, driver::Input};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
@@ -19,7 +21,12 @@
 
 async fn paths(held: Option<u64>) -> Vec<String> {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let upstreams = Upstreams { discovery: listener.local_addr().expect("an address"), counter: None };
+    let (time, links) = (Duration::from_secs(1), 8);
+    let (dial_timeout, conn_idle) = (time, time);
+    let around = Around { links, links_most: links, gateways: 1, sockets: 32, dial_timeout, conn_idle };
+    let pool = PoolSettings::read(&serde_json::Value::Null, &around).expect("defaults");
+    let discovery = listener.local_addr().expect("an address");
+    let upstreams = Upstreams { discovery, counter: None, pool };
     let (_keep, upstreams) = watch::channel(upstreams);
     let (inbox, mut inputs) = mpsc::channel(8);
     tokio::task::spawn_local(discovery::watch(upstreams, inbox, Backoff::new(1, 0), held));
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -319,6 +319,10 @@
         (good.replace("\"deadline\":8000000", "\"deadline\":-1"), "classes.1.deadline"),
         (good.replace("\"counter\":\"127.0.0.1:1\",", ""), "counter"),
         (good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"nowhere\""), "socket address"),
+        (with_pool(&good, r#"{"linkz":3}"#), "pool.linkz: unknown"),
+        (with_pool(&good, r#"{"links":0}"#), "pool.links: expected a whole number from 1"),
+        (with_pool(&good, r#"{"backend_least":9,"backend_most":3}"#), "pool.backend_least: 9 is over"),
+        (with_pool(&good, r#"{"links":900}"#), "pool.links: 900 is over what limits.sockets, 1024"),
     ] {
         let done = program(&bad).output().expect("it runs");
         let told = String::from_utf8(done.stderr).expect("text");
@@ -327,6 +331,68 @@
     }
 }
 
+/// A configuration with this `pool` section.
+fn with_pool(config: &str, section: &str) -> String {
+    config.replacen('{', &format!("{{\"pool\":{section},"), 1)
+}
+
+/// A gateway before two backends, of whom each holds one idle connection, and its configuration and file.
+fn with_two_idle() -> (Stub, Stub, Discovery, Stub, Node, String, std::path::PathBuf) {
+    let (one, other) = (Stub::start(|_| http("200 OK", "ok")), Stub::start(|_| http("200 OK", "ok")));
+    let members = [member("s-1", one.address, "ready"), member("s-2", other.address, "ready")].join(",");
+    let (discovery, counter) = (Discovery::start(&members), counter());
+    let config = config(discovery.stub.address, counter.address);
+    let path = file(&config);
+    let node = Node::spawn(told_by(&path));
+    node.wait_ready();
+    let mut client = node.client();
+    let start = Instant::now();
+    while one.requests().is_empty() || other.requests().is_empty() {
+        assert_eq!(client.ask(&request("look", 3000)).status(), 200);
+        assert!(start.elapsed() < LIMIT, "both are used");
+    }
+    (one, other, discovery, counter, node, config, path)
+}
+
+fn opened_and_closed(stub: &Stub) -> (usize, usize) {
+    stub.look(|log| (log.opened, log.closed))
+}
+
+#[test]
+fn at_sigterm_idle_connections_to_backends_are_closed_at_once() {
+    let (one, other, _discovery, _counter, mut node, ..) = with_two_idle();
+    // While a request is open the gateway goes on, and only the idle connections end.
+    node.signal("TERM");
+    one.wait_for("its connections to close", |log| log.closed == log.opened);
+    other.wait_for("its connections to close", |log| log.closed == log.opened);
+    node.wait_for_line("pool open=0 idle=0");
+    assert_eq!(node.ended(), Some(0));
+}
+
+#[test]
+fn at_sighup_connections_to_backends_that_stay_are_kept_and_new_bounds_hold() {
+    let (one, other, _discovery, _counter, node, config, path) = with_two_idle();
+    let before = (opened_and_closed(&one), opened_and_closed(&other));
+    node.signal("HUP");
+    node.wait_for_line("configuration read again");
+    assert_eq!((opened_and_closed(&one), opened_and_closed(&other)), before, "all stay");
+    // Bounds that make no sense change nothing, and the log says which.
+    std::fs::write(&path, with_pool(&config, r#"{"idle_backends":1,"wait_ms":0}"#)).expect("written");
+    node.signal("HUP");
+    let line = node.wait_for_line("configuration not usable; the old one stays");
+    assert!(line.contains("pool.wait_ms: expected a whole number from 1 to 3600000, found 0"), "{line}");
+    assert_eq!((opened_and_closed(&one), opened_and_closed(&other)), before, "all stay");
+    std::fs::write(&path, with_pool(&config, r#"{"idle_backends":1}"#)).expect("written");
+    node.signal("HUP");
+    let start = Instant::now();
+    let closed = || opened_and_closed(&one).1 + opened_and_closed(&other).1;
+    while closed() == before.0 .1 + before.1 .1 {
+        pace(start);
+    }
+    let ended = [&one, &other].map(opened_and_closed).map(|(opened, closed)| opened == closed);
+    assert_ne!(ended[0], ended[1], "those of one backend: {ended:?}");
+}
+
 #[test]
 fn it_lives_on_when_descriptors_run_out() {
     let backend = Stub::start(|_| http("200 OK", "ok"));
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -14,7 +14,8 @@
 
 /// Runs what is asynchronous in a test of a part.
 pub fn on_runtime<T>(work: impl std::future::Future<Output = T>) -> T {
-    tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime").block_on(work)
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, work)
 }
 
 /// One HTTP message: its first line, headers in lower case, and body.
@@ -135,8 +136,11 @@
         let (_log, late) = self.log.1.wait_timeout_while(log, LIMIT, |log| !wanted(log)).expect("whole");
         assert!(!late.timed_out(), "waited in vain for {what}");
     }
+    pub fn look<T>(&self, look: impl FnOnce(&Log) -> T) -> T {
+        look(&self.log.0.lock().expect("whole"))
+    }
     pub fn requests(&self) -> Vec<Message> {
-        self.log.0.lock().expect("whole").requests.clone()
+        self.look(|log| log.requests.clone())
     }
 }
 
@@ -222,6 +226,7 @@
 pub struct Node {
     pub child: Child,
     pub address: SocketAddr,
+    log: Arc<(Mutex<Vec<String>>, Condvar)>,
 }
 
 pub fn config(discovery: SocketAddr, counter: SocketAddr) -> String {
@@ -268,8 +273,22 @@
             }
         };
         // Its log must not fill the pipe.
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Node { child, address }
+        let lines = Arc::<(Mutex<Vec<String>>, Condvar)>::default();
+        let kept = lines.clone();
+        thread::spawn(move || {
+            for line in log.lines().map_while(Result::ok) {
+                kept.0.lock().expect("whole").push(line);
+                kept.1.notify_all();
+            }
+        });
+        Node { child, address, log: lines }
+    }
+    /// Waits for a line of its log with this in it.
+    pub fn wait_for_line(&self, part: &str) -> String {
+        let found = |lines: &[String]| lines.iter().find(|line| line.contains(part)).cloned();
+        let lines = self.log.0.lock().expect("whole");
+        let lines = self.log.1.wait_timeout_while(lines, LIMIT, |lines| found(lines).is_none());
+        found(&lines.expect("whole").0).unwrap_or_else(|| panic!("waited in vain for a line with '{part}'"))
     }
     /// A gateway with these round it, ready.
     pub fn start(discovery: &Discovery, counter: &Stub) -> Node {
