--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -150,6 +150,40 @@
     assert!(share > 0.2, "{share} of what it could do: {got:?}");
 }
 
+#[test]
+fn connections_ahead_of_need_go_where_the_module_would_send() {
+    let (cold, failing, draining, sound) = (ServerId(30), ServerId(31), ServerId(32), ServerId(33));
+    let mut rigs: Vec<Rig> = (0..100).map(|me| one_of(100, me, 60)).collect();
+    let step = |rig: &mut Rig| {
+        rig.pass(125 * MS);
+        let (id, out) = rig.request(0, 3, 1, 1.0);
+        sends(&out).iter().for_each(|(_, server)| {
+            let outcome = if *server == failing { Outcome::ConnectFailed } else { Outcome::Ok };
+            drop(rig.ended(id, 0, *server, outcome));
+        });
+    };
+    for rig in &mut rigs {
+        (0..24).for_each(|_| step(rig));
+        let started = entry(30, Listed::InService, Some(rig.now));
+        let news = vec![started, entry(32, Listed::Draining, None)];
+        rig.tell(Event::Servers(ListScope::Changes, news));
+    }
+    let (mut at_cold, mut at_failing) = (Vec::new(), 0);
+    for _ in 0..32 {
+        rigs.iter_mut().for_each(step);
+        let mut may = |server| {
+            rigs.iter_mut().filter_map(|r| r.gateway.may_warm(Micros(r.now), server).then_some(())).count()
+        };
+        assert_eq!((may(draining), may(sound), may(ServerId(99))), (0, 100, 0));
+        at_cold.push(may(cold));
+        at_failing += usize::from(may(failing) == 100);
+    }
+    // All gateways together have leave for a few requests in each quarter of a second.
+    assert!(at_cold.iter().all(|may| *may <= 10), "{at_cold:?}");
+    assert!(at_cold.iter().sum::<usize>() > 0, "{at_cold:?}");
+    assert_eq!(at_failing, 0, "who met it leaves it alone");
+}
+
 #[test]
 fn calls_that_a_counter_can_bear_go_first_to_what_costs_most_when_guessed_wrong() {
     let mut set = Settings { gateways: 100, ..settings() };
