--- a/src/net/pool/settings.rs
+++ b/src/net/pool/settings.rs
@@ -11,6 +11,8 @@
 /// The least part that a gateway gets of them by default, so that two requests can be out at once and a third
 /// one need not wait for a handshake behind both.
 const LEAST_PART: usize = 4;
+/// Backends to which idle connections are kept by default: a subset of a large fleet, all of a small one.
+const IDLE_BACKENDS: usize = 64;
 /// The longest span that a key may name.
 const LONGEST_MS: usize = 3_600_000;
 /// The shortest.
@@ -152,7 +154,7 @@
             links,
             backend_least,
             backend_most,
-            idle_backends: section.whole("idle_backends", links, MOST)?,
+            idle_backends: section.whole("idle_backends", IDLE_BACKENDS.min(links), MOST)?,
             idle_least,
             idle_most,
             waiting,
@@ -197,6 +199,7 @@
     fn without_a_section_the_bounds_follow_the_fleet_and_the_descriptors() {
         let large = read(Value::Null).expect("defaults");
         assert_eq!((large.links, large.backend_least, large.backend_most), (256, 2, 4));
+        assert_eq!(large.idle_backends, 64, "a subset of a large fleet");
         assert_eq!(
             (large.idle_least, large.idle_most),
             (Duration::from_secs(15), Duration::from_millis(22_500))
