Pass long answers on as they arrive where a streaming section allows it

Need: every answer was collected whole, up to 64 KiB, and a longer one was a failed attempt; a registry serves archives of many megabytes.

src/net/relay.rs is an http_body::Body over a pool lease: up to hold_kb an answer is held back and may still be a failed attempt; past that it is the client's. If it breaks then, the client's connection closes short. It is read only as fast as the client takes it, within a memory budget; a least rate and a longest transfer bound it on both sides; its connection goes back to the pool once the body ended well. Sections of the configuration are read by src/net/section.rs, for the pool and streams alike.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -1,7 +1,8 @@
 //! Attempts at backends, and the outcome of each by what was written.
 
-use super::http::{CallError, Traffic};
+use super::http::{CallError, Received, Traffic};
 use super::pool::{Backend, NoLink, Pool};
+use super::relay::{Relay, Relays, Served};
 use crate::api::{Outcome, Report};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -63,7 +64,7 @@
     /// The outcome.
     pub outcome: Outcome,
     /// A 200's body.
-    pub body: Option<Bytes>,
+    pub body: Option<Served>,
     /// What the backend said of its load.
     pub report: Report,
 }
@@ -78,6 +79,7 @@
 /// when called off.
 pub async fn attempt(
     pool: &Rc<Pool>,
+    relays: &Relays,
     backend: &Backend,
     request: &Forward,
     until: Instant,
@@ -97,12 +99,13 @@
             }
             None => Outcome::ConnectFailed.into(),
         },
-        ended = exchange(pool, backend, request, until, &traffic) => ended,
+        ended = exchange(pool, relays, backend, request, until, &traffic) => ended,
     }
 }
 
 async fn exchange(
     pool: &Rc<Pool>,
+    relays: &Relays,
     backend: &Backend,
     request: &Forward,
     until: Instant,
@@ -121,9 +124,14 @@
         let Some(connection) = lease.connection() else { return Outcome::Moot.into() };
         // From here on the attempt may have run, for all that a caller who stops waiting can know.
         *traffic.borrow_mut() = Some(connection.traffic());
-        match connection.call(request.request(until)).await {
-            Ok(response) => {
-                let ended = outcome_of(response);
+        let set = relays.settings();
+        let received = match set {
+            None => connection.call(request.request(until)).await.map(Received::Whole),
+            Some(set) => connection.call_up_to(request.request(until), set.hold).await,
+        };
+        match received {
+            Ok(Received::Whole(response)) => {
+                let ended = outcome_of(response.map(Served::Whole));
                 match ended.outcome {
                     Outcome::Ok => pool.served(backend),
                     Outcome::Full => pool.turned_away(backend),
@@ -132,6 +140,17 @@
                 lease.give_back();
                 return ended;
             }
+            Ok(Received::Longer(response, held)) => {
+                pool.heard(backend);
+                let (head, rest) = response.into_parts();
+                // An answer other than a 200 is not passed on: there is no use in its rest.
+                let Some(set) = set.filter(|_| head.status == StatusCode::OK) else {
+                    return outcome_of(Response::from_parts(head, Served::Whole(Bytes::new())));
+                };
+                let Some(room) = relays.room(&set).await else { return Outcome::Reset.into() };
+                let relay = Relay::new(held, lease, rest, room);
+                return outcome_of(Response::from_parts(head, Served::Long(Box::new(relay))));
+            }
             // Guards against a pooled connection that was closed just before it was written to.
             Err(CallError::NotSent) if reused => *traffic.borrow_mut() = None,
             Err(CallError::NotSent) => return Outcome::ConnectFailed.into(),
@@ -155,7 +174,7 @@
 
 /// What an answer says. Guards against taking a bare 503 or 504 for a turn-away: only the header proves that
 /// the request never ran.
-fn outcome_of(response: Response<Bytes>) -> Ended {
+fn outcome_of(response: Response<Served>) -> Ended {
     let rejected = response.headers().get(REJECTED).is_some_and(|v| v.as_bytes() == b"1");
     let report =
         response.headers().get(LOAD).and_then(|v| v.to_str().ok()).map_or_else(Report::default, load);
@@ -189,7 +208,7 @@
     use super::*;
 
     fn report(text: &'static str) -> Report {
-        let mut response = Response::new(Bytes::new());
+        let mut response = Response::new(Served::Whole(Bytes::new()));
         response.headers_mut().insert(LOAD, HeaderValue::from_static(text));
         outcome_of(response).report
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,6 +1,7 @@
 //! What the platform tells a gateway: the environment and the configuration file.
 
 use super::pool::{Around, PoolSettings};
+use super::relay::StreamSettings;
 use crate::settings::{flatten, Fields, Site};
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -94,6 +95,8 @@
     known: MemberList,
     #[serde(default)]
     pool: serde_json::Value,
+    #[serde(default)]
+    streaming: serde_json::Value,
     settings: serde_json::Value,
 }
 
@@ -115,15 +118,17 @@
 }
 
 /// What a new configuration may change: the services that a gateway calls, and the bounds on its connections to
-/// backends.
+/// backends and on streams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Upstreams {
     /// Discovery.
     pub discovery: SocketAddr,
     /// The shared counter.
     pub counter: Option<SocketAddr>,
-    /// The bounds.
+    /// The bounds on connections to backends.
     pub pool: PoolSettings,
+    /// The bounds on streams; without them nothing is streamed.
+    pub streaming: Option<StreamSettings>,
 }
 
 impl fmt::Display for Upstreams {
@@ -169,6 +174,7 @@
     pub(crate) site: Site,
     pub(crate) sockets: SocketLimits,
     pub(crate) pool: PoolSettings,
+    pub(crate) streaming: Option<StreamSettings>,
     /// In bytes.
     pub(crate) memory: usize,
     /// An attempt's connection must be made within this.
@@ -209,7 +215,8 @@
 
     /// The services that it names.
     pub fn upstreams(&self) -> Upstreams {
-        Upstreams { discovery: self.discovery, counter: self.counter, pool: self.pool }
+        let Config { discovery, counter, pool, streaming, .. } = *self;
+        Upstreams { discovery, counter, pool, streaming }
     }
 
     /// Reads a configuration; addresses from the environment go before its own.
@@ -246,7 +253,9 @@
             dial_timeout,
             conn_idle,
         };
+        let memory = document.limits.memory_mb.saturating_mul(1 << 20).min(1 << 32);
         Ok(Config {
+            streaming: StreamSettings::read(&document.streaming, memory)?,
             pool: PoolSettings::read(&document.pool, &around)?,
             name: String::new(),
             listen: listen.or(document.listen).ok_or_else(|| missing("listen"))?,
@@ -257,7 +266,7 @@
             dial_timeout,
             site,
             sockets,
-            memory: document.limits.memory_mb.saturating_mul(1 << 20).min(1 << 32),
+            memory,
         })
     }
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -5,10 +5,10 @@
 use super::config::{Config, ConfigError, MemberList, Phase, Upstreams};
 use super::counter::{Counted, Counter, Order};
 use super::pool::{Backend, Pool};
+use super::relay::{Relays, Served};
 use crate::api::*;
 use crate::rules::Gateway;
 use crate::settings::Site;
-use bytes::Bytes;
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
@@ -32,10 +32,10 @@
 pub type Inbox = mpsc::Sender<Input>;
 
 /// The final answer to a client.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug)]
 pub enum Answer {
-    /// A backend's 200, whole.
-    Served(Bytes),
+    /// A backend's 200, whole or past the point up to which it is held back.
+    Served(Served),
     /// Refused: trying again is harmless, best after this time.
     Refused(Option<Micros>),
     /// Failed, with no promise.
@@ -113,11 +113,17 @@
     }
 }
 
-/// Tells the driver of services that move, and the pool of new bounds.
-pub async fn follow(mut upstreams: watch::Receiver<Upstreams>, inbox: Inbox, pool: Rc<Pool>) {
+/// Tells the driver of services that move, and the pool and the streams of new bounds.
+pub async fn follow(
+    mut upstreams: watch::Receiver<Upstreams>,
+    inbox: Inbox,
+    pool: Rc<Pool>,
+    relays: Rc<Relays>,
+) {
     while upstreams.changed().await.is_ok() {
-        let Upstreams { counter, pool: bounds, .. } = *upstreams.borrow_and_update();
+        let Upstreams { counter, pool: bounds, streaming, .. } = *upstreams.borrow_and_update();
         pool.configure(bounds);
+        relays.configure(streaming);
         if inbox.send(Input::Counter(counter)).await.is_err() {
             return;
         }
@@ -133,6 +139,7 @@
     inbox: Inbox,
     inputs: mpsc::Receiver<Input>,
     pool: Rc<Pool>,
+    relays: Rc<Relays>,
     counter: Option<Rc<Counter>>,
     /// The way to the counter at another address.
     counter_at: Box<dyn Fn(SocketAddr) -> Rc<Counter>>,
@@ -151,7 +158,8 @@
 impl Driver {
     /// A driver that knows nothing yet but the configuration.
     pub fn new(config: Config, clock: Clock, ready: Rc<Cell<bool>>) -> Result<Driver, ConfigError> {
-        let Config { site, counter, sockets, seed, known, dial_timeout, pool, .. } = config;
+        let Config { site, counter, sockets, seed, known, dial_timeout, pool, streaming, memory, .. } =
+            config;
         let must_subscribe = site.settings.must_subscribe;
         let gateway = Gateway::new(seed, site.settings.clone()).map_err(ConfigError::from)?;
         let (inbox, inputs) = mpsc::channel(INBOX);
@@ -166,6 +174,7 @@
             inbox,
             inputs,
             pool: Pool::new(pool, dial_timeout, seed),
+            relays: Rc::new(Relays::new(streaming, memory)),
             counter: counter.map(&counter_at),
             counter_at,
             order: Order::default(),
@@ -197,6 +206,11 @@
         self.pool.clone()
     }
 
+    /// The streams of long answers.
+    pub fn relays(&self) -> Rc<Relays> {
+        self.relays.clone()
+    }
+
     /// Runs for ever. Like the simulator it tells the module what has come in at most once a tick.
     pub async fn run(mut self) {
         let mut last = Instant::now();
@@ -296,7 +310,8 @@
             Input::Ended(id, attempt, server, ended, took) => {
                 let Some(open) = self.requests.get_mut(&id) else { return };
                 open.attempts.get_mut(attempt).into_iter().for_each(|a| a.out = false);
-                // The first 200 is the client's at once and ends the request; the module hears of it.
+                // The first 200 is the client's at once and ends the request; the module hears of it. One that
+                // comes second, or for nobody, ends here with its connection.
                 if let Some((body, reply)) = ended.body.and_then(|body| Some((body, open.reply.take()?))) {
                     let _ = reply.send(Answer::Served(body));
                 }
@@ -415,10 +430,11 @@
         };
         let (call_off, called_off) = oneshot::channel();
         open.attempts.push(Attempt { out: true, call_off: Some(call_off) });
-        let (pool, forward, inbox) = (self.pool.clone(), open.forward.clone(), self.inbox.clone());
+        let (pool, relays) = (self.pool.clone(), self.relays.clone());
+        let (forward, inbox) = (open.forward.clone(), self.inbox.clone());
         let (until, clock) = (self.clock.instant(until), self.clock);
         tokio::task::spawn_local(async move {
-            let ended = attempt(&pool, &backend, &forward, until, called_off).await;
+            let ended = attempt(&pool, &relays, &backend, &forward, until, called_off).await;
             let took = clock.now() - now;
             // The driver outlives every attempt but for the exit of the process.
             let _ = inbox.send(Input::Ended(id, number, server, ended, took)).await;
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,14 +1,15 @@
 //! One HTTP/1.1 connection to a backend, the counter or discovery. It never sends anything by itself: a call
 //! is written once, and the caller learns whether any of it was.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body;
+use hyper::body::{Body, Frame, Incoming};
 use hyper::client::conn::http1;
 use hyper::{header, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
@@ -183,26 +184,82 @@
 
     /// Makes one call and reads the whole answer. After an error the connection is of no further use.
     pub async fn call(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, CallError> {
+        let (head, body) = self.begin(request).await?.into_parts();
+        if body.size_hint().lower() > MAX_BODY as u64 {
+            return Err(CallError::Broken);
+        }
+        let body = self.drive(Limited::new(body, MAX_BODY).collect()).await;
+        let body = body.and_then(Result::ok).ok_or(CallError::Broken)?.to_bytes();
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// Makes one call and reads its answer up to a bound. After an error the connection is of no further use.
+    pub async fn call_up_to(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        bound: usize,
+    ) -> Result<Received, CallError> {
+        let (head, mut body) = self.begin(request).await?.into_parts();
+        let (mut held, mut length) = (VecDeque::new(), 0);
+        while length <= bound {
+            let frame = std::future::poll_fn(|cx| self.poll_frame(cx, &mut body)).await;
+            let Some(frame) = frame else {
+                let mut whole = BytesMut::with_capacity(length);
+                held.iter().for_each(|held: &Bytes| whole.extend_from_slice(held));
+                return Ok(Received::Whole(Response::from_parts(head, whole.freeze())));
+            };
+            // Trailers hold for this connection alone.
+            if let Ok(data) = frame?.into_data() {
+                length += data.len();
+                held.push_back(data);
+            }
+        }
+        Ok(Received::Longer(Response::from_parts(head, body), held))
+    }
+
+    /// Polls an answer's body with the machine that feeds it.
+    pub fn poll_frame(
+        &mut self,
+        cx: &mut Context,
+        body: &mut Incoming,
+    ) -> Poll<Option<Result<Frame<Bytes>, CallError>>> {
+        self.turn(cx);
+        match Pin::new(body).poll_frame(cx) {
+            Poll::Pending if self.closed => Poll::Ready(Some(Err(CallError::Broken))),
+            polled => polled.map(|frame| frame.map(|frame| frame.map_err(|_| CallError::Broken))),
+        }
+    }
+
+    /// Makes one call and reads the head of its answer.
+    async fn begin(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
         self.traffic.wrote.set(false);
         self.traffic.heard.set(false);
         let sending = self.sender.try_send_request(request);
-        let head = self.drive(sending).await;
+        let answer = self.drive(sending).await;
         let failed = if self.traffic.wrote.get() { CallError::Broken } else { CallError::NotSent };
-        let (head, body) = head.and_then(Result::ok).ok_or(failed)?.into_parts();
-        // Guards against spoilt answers, of which a part would pass for the whole: two lengths, none (so that any
-        // end of the connection looks like its own), or more than any answer has, which may keep coming for long.
+        let answer = answer.and_then(Result::ok).ok_or(failed)?;
+        // Guards against spoilt answers, of which a part would pass for the whole: two lengths, or none (so that
+        // any end of the connection looks like its own).
         let (length, chunked) = (header::CONTENT_LENGTH, header::TRANSFER_ENCODING);
-        let one_length = head.headers.contains_key(length) != head.headers.contains_key(chunked);
-        let has_body = head.status != StatusCode::NO_CONTENT && head.status != StatusCode::NOT_MODIFIED;
-        if has_body && !one_length || body.size_hint().lower() > MAX_BODY as u64 {
-            return Err(CallError::Broken);
+        let one_length = answer.headers().contains_key(length) != answer.headers().contains_key(chunked);
+        let status = answer.status();
+        let has_body = status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED;
+        if has_body && !one_length {
+            Err(CallError::Broken)
+        } else {
+            Ok(answer)
         }
-        let body = self.drive(Limited::new(body, MAX_BODY).collect()).await;
-        let body = body.and_then(Result::ok).ok_or(CallError::Broken)?.to_bytes();
-        Ok(Response::from_parts(head, body))
     }
 }
 
+/// An answer, or as much of it as was to be read.
+pub enum Received {
+    /// All of it.
+    Whole(Response<Bytes>),
+    /// Its start, and what the rest is read from.
+    Longer(Response<Incoming>, VecDeque<Bytes>),
+}
+
 /// A stream that refuses TCP's options and carries bytes as any other, and its far end: a Unix socket.
 #[cfg(test)]
 pub(crate) fn without_options() -> (TcpStream, tokio::net::UnixStream) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,8 @@
 pub mod driver;
 pub mod http;
 pub mod pool;
+pub mod relay;
+mod section;
 pub mod server;
 
 use backoff::Backoff;
@@ -69,12 +71,12 @@
     let held = (asks && !config.known.members.is_empty()).then_some(config.known.revision);
     let bodies = config.memory / BODIES_PART;
     let driver = Driver::new(config, clock, ready.clone()).map_err(RunError::Config)?;
-    let (inbox, pool) = (driver.inbox(), driver.pool());
+    let (inbox, pool, relays) = (driver.inbox(), driver.pool(), driver.relays());
     let listener = TcpListener::bind(listen).await.map_err(|e| RunError::Listen(listen, e))?;
     let address = listener.local_addr().map_err(|e| RunError::Listen(listen, e))?;
     info!(name, %address, "listening");
     tokio::task::spawn_local(discovery::watch(upstreams.clone(), inbox.clone(), backoff, held));
-    tokio::task::spawn_local(driver::follow(upstreams, inbox.clone(), pool.clone()));
+    tokio::task::spawn_local(driver::follow(upstreams, inbox.clone(), pool.clone(), relays.clone()));
     let mut stop = stopping.clone();
     tokio::task::spawn_local(async move {
         if stop.wait_for(|stop| *stop).await.is_ok() {
@@ -95,6 +97,7 @@
         bodies,
         last,
         stopping,
+        relays,
         time_is_up: Notify::new(),
     };
     // Guards against living on without a driver, taking requests that nobody decides.
--- a/src/net/pool/settings.rs
+++ b/src/net/pool/settings.rs
@@ -1,8 +1,8 @@
 //! The `pool` section of the configuration: the bounds on connections to backends.
 
 use crate::net::config::ConfigError;
-use serde_json::{Map, Value};
-use std::fmt;
+use crate::net::section::Section;
+use serde_json::Value;
 use std::time::Duration;
 
 /// Connections that all gateways together may hold at one backend where nothing else is said: each gateway may
@@ -13,8 +13,6 @@
 const LEAST_PART: usize = 4;
 /// Backends to which idle connections are kept by default: a subset of a large fleet, all of a small one.
 const IDLE_BACKENDS: usize = 64;
-/// The longest span that a key may name.
-const LONGEST_MS: usize = 3_600_000;
 /// The shortest.
 const SHORTEST: Duration = Duration::from_millis(1);
 /// The most that a key may count.
@@ -87,58 +85,10 @@
     "warm_burst",
 ];
 
-/// The section as it stands in the file.
-struct Section<'a>(Option<&'a Map<String, Value>>);
-
-impl Section<'_> {
-    fn get(&self, key: &str) -> Option<&Value> {
-        self.0.and_then(|section| section.get(key))
-    }
-
-    fn whole(&self, key: &str, default: usize, most: usize) -> Result<usize, ConfigError> {
-        let Some(value) = self.get(key) else { return Ok(default.clamp(1, most)) };
-        let number = value.as_u64().and_then(|n| usize::try_from(n).ok()).filter(|n| (1..=most).contains(n));
-        number.ok_or_else(|| problem(key, format!("expected a whole number from 1 to {most}, found {value}")))
-    }
-
-    fn span(&self, key: &str, default: Duration) -> Result<Duration, ConfigError> {
-        let default = usize::try_from(default.as_millis()).unwrap_or(LONGEST_MS);
-        self.whole(key, default, LONGEST_MS).map(|ms| Duration::from_millis(ms as u64))
-    }
-
-    fn flag(&self, key: &str, default: bool) -> Result<bool, ConfigError> {
-        match self.get(key) {
-            None => Ok(default),
-            Some(Value::Bool(flag)) => Ok(*flag),
-            Some(value) => Err(problem(key, format!("expected true or false, found {value}"))),
-        }
-    }
-}
-
-fn problem(key: &str, what: impl fmt::Display) -> ConfigError {
-    ConfigError::new(format!("pool.{key}: {what}"))
-}
-
-/// One plain line where a value is over the one that bounds it.
-fn at_most<T: PartialOrd + fmt::Debug>(key: &str, value: T, bound: &str, most: T) -> Result<(), ConfigError> {
-    if value <= most {
-        return Ok(());
-    }
-    Err(problem(key, format!("{value:?} is over {bound}, {most:?}")))
-}
-
 impl PoolSettings {
     /// Reads the section; `Null` where there is none. What it does not name has a default that fits what it does.
     pub fn read(section: &Value, around: &Around) -> Result<PoolSettings, ConfigError> {
-        let section = match section {
-            Value::Null => Section(None),
-            Value::Object(fields) => Section(Some(fields)),
-            other => return Err(ConfigError::new(format!("pool: expected an object, found {other}"))),
-        };
-        let unknown = section.0.and_then(|s| s.keys().find(|key| !KEYS.contains(&key.as_str())));
-        if let Some(key) = unknown {
-            return Err(problem(key, format!("unknown; known are {}", KEYS.join(", "))));
-        }
+        let section = Section::new("pool", section, &KEYS)?;
         let links = section.whole("links", around.links, MOST)?;
         let most = (FLEET_LINKS / around.gateways.max(1) as usize).max(LEAST_PART).min(links.div_ceil(2));
         let backend_least = section.whole("backend_least", 2.min(links), MOST)?;
@@ -166,18 +116,25 @@
             warm_per_s: section.whole("warm_per_s", 2, MOST)?,
             warm_burst: section.whole("warm_burst", 2, MOST)?,
         };
-        settings.check(around).map(|()| settings)
+        settings.check(&section, around).map(|()| settings)
     }
 
-    fn check(&self, around: &Around) -> Result<(), ConfigError> {
+    fn check(&self, section: &Section, around: &Around) -> Result<(), ConfigError> {
+        let at_most = |key, value: usize, bound: &str, most| section.at_most(key, value, bound, most);
+        let no_later = |key, value: Duration, bound, most| section.at_most(key, value, bound, most);
         let of_sockets = format!("what limits.sockets, {}, leaves for backends", around.sockets);
         at_most("links", self.links, &of_sockets, around.links_most)?;
         at_most("backend_least", self.backend_least, "pool.backend_most", self.backend_most)?;
         at_most("backend_most", self.backend_most, "pool.links", self.links)?;
-        at_most("idle_least_ms", self.idle_least, "pool.idle_most_ms", self.idle_most)?;
-        at_most("idle_most_ms", self.idle_most, "settings.bounds.conn_idle", around.conn_idle.max(SHORTEST))?;
+        no_later("idle_least_ms", self.idle_least, "pool.idle_most_ms", self.idle_most)?;
+        no_later(
+            "idle_most_ms",
+            self.idle_most,
+            "settings.bounds.conn_idle",
+            around.conn_idle.max(SHORTEST),
+        )?;
         at_most("backend_waiting", self.backend_waiting, "pool.waiting", self.waiting)?;
-        at_most("backoff_least_ms", self.backoff_least, "pool.backoff_most_ms", self.backoff_most)
+        no_later("backoff_least_ms", self.backoff_least, "pool.backoff_most_ms", self.backoff_most)
     }
 }
 
--- /dev/null
+++ b/src/net/relay.rs
@@ -0,0 +1,275 @@
+//! Long answers, passed on as they arrive. An answer is held back up to a bound: within it one that turns out
+//! spoilt is a failed attempt. Past it the answer is the client's; if it breaks then, so does the client's
+//! connection, so that nobody takes a part for the whole.
+
+use super::config::ConfigError;
+use super::http::MAX_BODY;
+use super::pool::Lease;
+use super::section::Section;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use serde_json::Value;
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::fmt;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// What one stream may hold besides its start: what was read from the backend and what is being written to the
+/// client, each up to hyper's buffer.
+const BUFFERS: usize = 4 * MAX_BODY;
+/// The part of the memory that streams may hold.
+const MEMORY_PART: usize = 4;
+/// The longest that the section may name, in its units.
+const MOST_KB: usize = 16 * 1024;
+const MOST_S: usize = 7 * 24 * 3600;
+
+const KEYS: [&str; 4] = ["hold_kb", "least_kb_per_s", "window_ms", "longest_s"];
+
+/// The `streaming` section.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamSettings {
+    /// So many bytes of an answer are held back before it is committed to.
+    pub hold: usize,
+    /// At least so many bytes must go through in each window,
+    pub least: u64,
+    /// which is so long.
+    pub window: Duration,
+    /// A transfer ends after this time.
+    pub longest: Duration,
+}
+
+impl StreamSettings {
+    /// Reads the section; without one, nothing is streamed. `memory` is in bytes.
+    pub fn read(section: &Value, memory: usize) -> Result<Option<StreamSettings>, ConfigError> {
+        let section = Section::new("streaming", section, &KEYS)?;
+        if !section.is_there() {
+            return Ok(None);
+        }
+        let hold_kb = section.whole("hold_kb", MAX_BODY / 1024, MOST_KB)?;
+        let least_kb = section.whole("least_kb_per_s", 1, MOST_KB)?;
+        let window = section.span("window_ms", Duration::from_secs(5))?;
+        let longest = section.whole("longest_s", 3_600, MOST_S)?;
+        let room_kb = (memory / MEMORY_PART).saturating_sub(BUFFERS) / 1024;
+        section.at_most("hold_kb", hold_kb, "what limits.memory_mb leaves for one stream", room_kb)?;
+        Ok(Some(StreamSettings {
+            hold: hold_kb * 1024,
+            least: (least_kb as f64 * 1024.0 * window.as_secs_f64()) as u64,
+            window,
+            longest: Duration::from_secs(longest as u64),
+        }))
+    }
+}
+
+/// What all streams share: their bounds, and the memory that they may hold together.
+pub struct Relays {
+    set: Cell<Option<StreamSettings>>,
+    /// In bytes, and all of it.
+    room: Arc<Semaphore>,
+    most: usize,
+}
+
+impl Relays {
+    /// Streams under these settings; `memory` is that of the whole gateway, in bytes.
+    pub fn new(set: Option<StreamSettings>, memory: usize) -> Relays {
+        let most = memory / MEMORY_PART;
+        Relays { set: Cell::new(set), room: Arc::new(Semaphore::new(most)), most }
+    }
+
+    /// The bounds in force; `None` where nothing is streamed.
+    pub fn settings(&self) -> Option<StreamSettings> {
+        self.set.get()
+    }
+
+    /// Keeps to new bounds, the memory aside.
+    pub fn configure(&self, set: Option<StreamSettings>) {
+        self.set.set(set);
+    }
+
+    /// Room for one stream; waits until others leave it.
+    pub async fn room(&self, set: &StreamSettings) -> Option<OwnedSemaphorePermit> {
+        // A new configuration may name more than there was at the start: then one stream has it all.
+        let bytes = (set.hold + BUFFERS).min(self.most);
+        // The semaphore is never closed.
+        self.room.clone().acquire_many_owned(bytes as u32).await.ok()
+    }
+}
+
+/// The body of an answer that is served.
+pub enum Served {
+    /// Whole.
+    Whole(Bytes),
+    /// Still arriving.
+    Long(Box<Relay>),
+}
+
+impl fmt::Debug for Served {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Served::Whole(body) => write!(f, "{} bytes", body.len()),
+            Served::Long(_) => f.write_str("a stream"),
+        }
+    }
+}
+
+/// An answer broke off after it was committed to.
+#[derive(Debug)]
+pub struct BrokeOff;
+
+impl fmt::Display for BrokeOff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the backend's answer broke off")
+    }
+}
+impl std::error::Error for BrokeOff {}
+
+/// An answer under way: what was held back, then what arrives. It reads from its backend only as fast as the
+/// client takes it. Its connection goes back to the pool only when the body ended well.
+pub struct Relay {
+    held: VecDeque<Bytes>,
+    rest: Option<(Lease, Incoming)>,
+    _room: OwnedSemaphorePermit,
+}
+
+impl Relay {
+    /// What was held back of an answer, and the connection on which the rest arrives.
+    pub fn new(held: VecDeque<Bytes>, lease: Lease, rest: Incoming, room: OwnedSemaphorePermit) -> Relay {
+        Relay { held, rest: Some((lease, rest)), _room: room }
+    }
+
+    fn ended_well(&mut self) {
+        self.rest.take().into_iter().for_each(|(lease, _)| lease.give_back());
+    }
+}
+
+impl Body for Relay {
+    type Data = Bytes;
+    type Error = BrokeOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokeOff>>> {
+        let this = self.get_mut();
+        if let Some(held) = this.held.pop_front() {
+            return Poll::Ready(Some(Ok(Frame::data(held))));
+        }
+        loop {
+            let Some((lease, rest)) = &mut this.rest else { return Poll::Ready(None) };
+            let Some(connection) = lease.connection() else { return Poll::Ready(Some(Err(BrokeOff))) };
+            match connection.poll_frame(cx, rest) {
+                Poll::Pending => return Poll::Pending,
+                // Trailers are dropped: they hold for the backend's connection alone.
+                Poll::Ready(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    // Who knows the length asks for nothing behind it.
+                    if rest.is_end_stream() {
+                        this.ended_well();
+                    }
+                    return Poll::Ready(Some(Ok(Frame::data(data))));
+                }
+                Poll::Ready(Some(Err(_))) => {
+                    this.rest = None;
+                    return Poll::Ready(Some(Err(BrokeOff)));
+                }
+                Poll::Ready(None) => {
+                    this.ended_well();
+                    return Poll::Ready(None);
+                }
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.held.is_empty() && self.rest.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let held = self.held.iter().map(|held| held.len() as u64).sum::<u64>();
+        let rest = self.rest.as_ref().map_or_else(|| SizeHint::with_exact(0), |(_, rest)| rest.size_hint());
+        rest.exact().map_or_else(SizeHint::default, |rest| SizeHint::with_exact(held + rest))
+    }
+}
+
+/// The body of an answer to a client, with what must last as long as it is under way.
+pub enum Answered<G> {
+    /// Whole.
+    Whole(Full<Bytes>),
+    /// Still arriving; each frame is told to the guard.
+    Long(Box<Relay>, G),
+}
+
+/// What lasts as long as a stream.
+pub trait Guard {
+    /// So many bytes went through.
+    fn moved(&self, bytes: u64);
+}
+
+impl<G: Guard + Unpin> Body for Answered<G> {
+    type Data = Bytes;
+    type Error = BrokeOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokeOff>>> {
+        match self.get_mut() {
+            Answered::Whole(body) => {
+                let never = |error: Infallible| match error {};
+                Pin::new(body).poll_frame(cx).map(|frame| frame.map(|frame| frame.map_err(never)))
+            }
+            Answered::Long(relay, guard) => {
+                let polled = Pin::new(&mut **relay).poll_frame(cx);
+                if let Poll::Ready(Some(Ok(frame))) = &polled {
+                    guard.moved(frame.data_ref().map_or(0, |data| data.len() as u64));
+                }
+                polled
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Answered::Whole(body) => body.is_end_stream(),
+            Answered::Long(relay, _) => relay.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Answered::Whole(body) => body.size_hint(),
+            Answered::Long(relay, _) => relay.size_hint(),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::time::timeout;
+
+    #[tokio::test(flavor = "current_thread", start_paused = true)]
+    async fn streams_wait_for_room_and_have_it_once_another_ends() {
+        let memory = 4 * MEMORY_PART * BUFFERS;
+        let set = StreamSettings::read(&serde_json::json!({"hold_kb": 64}), memory);
+        let set = set.expect("a section that makes sense").expect("one");
+        let relays = Relays::new(Some(set), memory);
+        let mut under_way = Vec::new();
+        while let Ok(room) = timeout(Duration::from_secs(1), relays.room(&set)).await {
+            under_way.push(room);
+        }
+        assert_eq!(under_way.len(), 4 * BUFFERS / (set.hold + BUFFERS), "as many as the memory holds");
+        under_way.pop();
+        assert!(timeout(Duration::from_secs(1), relays.room(&set)).await.is_ok(), "one has ended");
+        // More than there is at all: it waits for the others and then has everything.
+        let large = StreamSettings { hold: memory, ..set };
+        assert!(timeout(Duration::from_secs(1), relays.room(&large)).await.is_err());
+        under_way.clear();
+        assert!(timeout(Duration::from_secs(1), relays.room(&large)).await.is_ok());
+    }
+}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -3,10 +3,11 @@
 use super::backend::{strip_hop_by_hop, Forward, BUDGET};
 use super::driver::{Answer, Clock, Inbox, Input, Taken};
 use super::http::{send_at_once, MAX_BODY};
+use super::relay::{Answered, Guard, Relays, Served, StreamSettings};
 use crate::api::*;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -82,6 +83,8 @@
     pub last: Cell<u64>,
     /// Set by SIGTERM.
     pub stopping: watch::Receiver<bool>,
+    /// The streams of long answers.
+    pub relays: Rc<Relays>,
     /// Told when a stopping gateway can wait no longer for the answers of its backends.
     pub time_is_up: Notify,
 }
@@ -99,6 +102,8 @@
     Receiving,
     /// A request was taken and is not answered.
     Busy,
+    /// A long answer is on its way to it.
+    Streaming,
     /// Between requests.
     Idle,
 }
@@ -112,12 +117,26 @@
     /// It is to end at once.
     cut: Cell<bool>,
     told: Notify,
+    /// The bytes of long answers that went through.
+    moved: Cell<u64>,
+    transfer: Cell<Transfer>,
+}
+
+/// When a long answer began to go out, and when its present window did, by then so many bytes moved.
+#[derive(Clone, Copy)]
+struct Transfer {
+    began: Instant,
+    window: Instant,
+    moved: u64,
 }
 
 impl Line {
     fn new() -> Line {
         let (phase, since) = (Cell::new(Phase::Receiving), Cell::new(Instant::now()));
-        Line { phase, since, closing: Cell::new(false), cut: Cell::new(false), told: Notify::new() }
+        let (closing, cut, moved) = (Cell::new(false), Cell::new(false), Cell::new(0));
+        let transfer = Transfer { began: Instant::now(), window: Instant::now(), moved: 0 };
+        let transfer = Cell::new(transfer);
+        Line { phase, since, closing, cut, told: Notify::new(), moved, transfer }
     }
     /// A first request's time runs from the opening.
     fn turn(&self, phase: Phase) {
@@ -138,12 +157,53 @@
     fn is(&self, phase: Phase, longer_than: Duration) -> bool {
         self.phase.get() == phase && self.since.get().elapsed() > longer_than
     }
+    /// Whether a long answer takes too long, or too little of it went through in a window.
+    fn lags(&self, set: &StreamSettings) -> bool {
+        if self.phase.get() != Phase::Streaming {
+            return false;
+        }
+        let Transfer { began, window, moved } = self.transfer.get();
+        let (now, mut slow) = (Instant::now(), false);
+        if now >= window + set.window {
+            slow = self.moved.get() - moved < set.least;
+            self.transfer.set(Transfer { began, window: now, moved: self.moved.get() });
+        }
+        slow || now >= began + set.longest
+    }
+}
+
+/// What lasts as long as a long answer is on its way: the request's name, and the connection's phase.
+struct Stream {
+    line: Rc<Line>,
+    _open: OpenCall,
+}
+
+impl Stream {
+    fn new(line: &Rc<Line>, open: OpenCall) -> Stream {
+        line.turn(Phase::Streaming);
+        let (began, moved) = (Instant::now(), line.moved.get());
+        line.transfer.set(Transfer { began, window: began, moved });
+        Stream { line: line.clone(), _open: open }
+    }
+}
+
+impl Guard for Stream {
+    fn moved(&self, bytes: u64) {
+        self.line.moved.set(self.line.moved.get() + bytes);
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        self.line.turn(Phase::Idle);
+    }
 }
 
 /// The open connections of clients, a bounded number.
 struct Lines {
     open: RefCell<HashMap<u64, Rc<Line>>>,
     most: usize,
+    relays: Rc<Relays>,
     /// One has ended.
     ended: Notify,
 }
@@ -156,9 +216,11 @@
     /// Closes what takes too long. Guards against clients that keep a connection and say nothing, send half a
     /// request, or do not read their answer.
     fn sweep(&self) {
+        let streams = self.relays.settings();
         for line in self.open.borrow().values() {
+            let lags = streams.is_some_and(|set| line.lags(&set));
             let unread = line.closing.get() && line.is(Phase::Idle, RECEIVE_TIME);
-            if line.is(Phase::Receiving, RECEIVE_TIME) || unread {
+            if line.is(Phase::Receiving, RECEIVE_TIME) || unread || lags {
                 line.cut();
             } else if line.is(Phase::Idle, LONGEST_IDLE) {
                 line.close();
@@ -208,7 +270,8 @@
 
 /// Takes clients until SIGTERM, answers what was taken, and returns.
 pub async fn serve(listener: TcpListener, front: Rc<Front>, connections: usize) {
-    let lines = Rc::new(Lines { open: RefCell::default(), most: connections, ended: Notify::new() });
+    let (open, relays) = (RefCell::default(), front.relays.clone());
+    let lines = Rc::new(Lines { open, most: connections, relays, ended: Notify::new() });
     let mut stopping = front.stopping.clone();
     let mut last_call: Option<Instant> = None;
     let mut sweep = interval(SWEEP_EVERY);
@@ -297,7 +360,9 @@
     }
 }
 
-async fn respond(request: Request<Incoming>, front: &Front, line: &Line) -> Response<Full<Bytes>> {
+type Body = Answered<Stream>;
+
+async fn respond(request: Request<Incoming>, front: &Rc<Front>, line: &Rc<Line>) -> Response<Body> {
     line.turn(Phase::Receiving);
     let mut response = match request.uri().path() {
         "/_health" => match front.ready.get() && !front.is_stopping() {
@@ -313,23 +378,29 @@
     if front.is_stopping() {
         response = last(response);
     }
-    line.turn(Phase::Idle);
+    if !matches!(response.body(), Answered::Long(..)) {
+        line.turn(Phase::Idle);
+    }
     response
 }
 
 /// Ends the connection with this answer. Guards against what follows a request that can't be believed, such as
 /// a body of 60 MB, which then is not read.
-fn last(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+fn last(mut response: Response<Body>) -> Response<Body> {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
+    let mut response = Response::new(whole(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response
 }
 
+fn whole(body: Bytes) -> Body {
+    Answered::Whole(Full::new(body))
+}
+
 type Malformed = (StatusCode, &'static str);
 
 /// Tells the driver that the client is gone, unless it was answered.
@@ -355,31 +426,31 @@
 
 /// A client's name for a request that is open. Guards against two requests of one name at the backends, which
 /// take the second for a copy of the first.
-struct OpenCall<'a> {
-    calls: &'a RefCell<HashSet<HeaderValue>>,
+struct OpenCall {
+    front: Rc<Front>,
     call: HeaderValue,
 }
 
-impl OpenCall<'_> {
-    fn new(calls: &RefCell<HashSet<HeaderValue>>, call: HeaderValue) -> Result<OpenCall<'_>, Malformed> {
-        match calls.borrow_mut().insert(call.clone()) {
-            true => Ok(OpenCall { calls, call }),
+impl OpenCall {
+    fn new(front: &Rc<Front>, call: HeaderValue) -> Result<OpenCall, Malformed> {
+        match front.open.borrow_mut().insert(call.clone()) {
+            true => Ok(OpenCall { front: front.clone(), call }),
             false => Err((StatusCode::CONFLICT, "X-Call-Id: a request of that name is open\n")),
         }
     }
 }
 
-impl Drop for OpenCall<'_> {
+impl Drop for OpenCall {
     fn drop(&mut self) {
-        self.calls.borrow_mut().remove(&self.call);
+        self.front.open.borrow_mut().remove(&self.call);
     }
 }
 
 async fn take(
     request: Request<Incoming>,
-    front: &Front,
-    line: &Line,
-) -> Result<Response<Full<Bytes>>, Malformed> {
+    front: &Rc<Front>,
+    line: &Rc<Line>,
+) -> Result<Response<Body>, Malformed> {
     let (head, body) = request.into_parts();
     let asked = Asked::read(&head.method, head.uri.query(), &head.headers, front)?;
     // Guards memory: its length is known before any of it is read.
@@ -392,7 +463,7 @@
     };
     let body =
         body.collect().await.map_err(|_| (StatusCode::BAD_REQUEST, "the body broke off\n"))?.to_bytes();
-    let _open = OpenCall::new(&front.open, asked.call)?;
+    let open = OpenCall::new(front, asked.call)?;
     line.turn(Phase::Busy);
     // The request's time runs from its last byte.
     let deadline = front.clock.now() + asked.budget;
@@ -415,7 +486,8 @@
         else => Answer::Failed,
     };
     Ok(match answer {
-        Answer::Served(body) => Response::new(Full::new(body)),
+        Answer::Served(Served::Whole(body)) => Response::new(whole(body)),
+        Answer::Served(Served::Long(relay)) => Response::new(Answered::Long(relay, Stream::new(line, open))),
         Answer::Refused(wait) => {
             let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused\n");
             let wait = wait.and_then(|w| HeaderValue::from_str(&format!("{:.3}", w.secs())).ok());
@@ -543,6 +615,7 @@
             bodies: Semaphore::new(MAX_BODY),
             last: Cell::new(0),
             stopping,
+            relays: Rc::new(Relays::new(None, 0)),
             time_is_up: Notify::new(),
         }
     }
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -5,6 +5,7 @@
 use starlinghill::api::Outcome;
 use starlinghill::net::backend::{Ended, Forward};
 use starlinghill::net::pool::{Around, Backend, Pool, PoolSettings};
+use starlinghill::net::relay::{Relays, Served};
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,6 +27,20 @@
     Pool::new(PoolSettings::read(&serde_json::Value::Null, &around).expect("defaults"), dial_timeout, 1)
 }
 
+/// Nothing is streamed.
+fn whole() -> Relays {
+    Relays::new(None, 0)
+}
+
+/// The body that was served whole.
+fn body(ended: &Ended) -> Option<&[u8]> {
+    match &ended.body {
+        Some(Served::Whole(body)) => Some(body),
+        Some(Served::Long(_)) => panic!("a stream"),
+        None => None,
+    }
+}
+
 fn backend(pool: &Pool, stub: &Stub) -> Backend {
     pool.backend(stub.address, 0, None)
 }
@@ -38,7 +53,8 @@
 /// An attempt that may take so long and is never called off.
 async fn attempt(pool: &Rc<Pool>, backend: &Backend, limit: Duration) -> Ended {
     let (_call_off, called_off) = oneshot::channel();
-    starlinghill::net::backend::attempt(pool, backend, &post(), Instant::now() + limit, called_off).await
+    starlinghill::net::backend::attempt(pool, &whole(), backend, &post(), Instant::now() + limit, called_off)
+        .await
 }
 
 #[test]
@@ -83,7 +99,8 @@
         let (call_off, called_off) = oneshot::channel();
         let forward = post();
         let until = Instant::now() + LONG;
-        let out = starlinghill::net::backend::attempt(&pool, &backend, &forward, until, called_off);
+        let relays = whole();
+        let out = starlinghill::net::backend::attempt(&pool, &relays, &backend, &forward, until, called_off);
         let (ended, ()) = tokio::join!(out, async {
             while stub.requests().len() < 2 {
                 tokio::time::sleep(Duration::from_millis(1)).await;
@@ -177,7 +194,7 @@
         let stub = Stub::start(move |_| Reply::Raw(spoilt.into()));
         let pool = pool(8, LONG, LONG);
         let ended = on_runtime(attempt(&pool, &backend(&pool, &stub), LONG));
-        assert_eq!((ended.outcome, ended.body), (Outcome::Reset, None), "{spoilt}");
+        assert_eq!((ended.outcome, body(&ended)), (Outcome::Reset, None), "{spoilt}");
         stub.wait_for("the connection's end", |log| log.closed == 1);
     }
 }
@@ -193,7 +210,7 @@
     on_runtime(async {
         for own in ["0", "1", "2"] {
             let ended = attempt(&pool, &backend, LONG).await;
-            assert_eq!(ended.body.as_deref(), Some(own.as_bytes()), "each on a connection of its own");
+            assert_eq!(body(&ended), Some(own.as_bytes()), "each on a connection of its own");
             tokio::time::sleep(SETTLED).await;
         }
     });
@@ -248,7 +265,7 @@
             let second = attempt(&pool, &backend, LONG);
             go.send(()).expect("it runs");
             let ended = second.await;
-            assert_eq!((ended.outcome, ended.body.as_deref()), (Outcome::Ok, Some(&b"ok"[..])));
+            assert_eq!((ended.outcome, body(&ended)), (Outcome::Ok, Some(&b"ok"[..])));
         });
         let counters = pool.counters();
         assert_eq!((counters.stale, counters.dials, counters.reused), (1, 2, 0));
@@ -318,8 +335,10 @@
                         // It may have ended by itself.
                         let _ = call_off.send(());
                     };
-                    let out =
-                        starlinghill::net::backend::attempt(&pool, &backend, &forward, until, called_off);
+                    let relays = whole();
+                    let out = starlinghill::net::backend::attempt(
+                        &pool, &relays, &backend, &forward, until, called_off,
+                    );
                     tokio::join!(out, calling_off).0.outcome
                 });
             }
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -26,7 +26,7 @@
     let around = Around { links, links_most: links, gateways: 1, sockets: 32, dial_timeout, conn_idle };
     let pool = PoolSettings::read(&serde_json::Value::Null, &around).expect("defaults");
     let discovery = listener.local_addr().expect("an address");
-    let upstreams = Upstreams { discovery, counter: None, pool };
+    let upstreams = Upstreams { discovery, counter: None, pool, streaming: None };
     let (_keep, upstreams) = watch::channel(upstreams);
     let (inbox, mut inputs) = mpsc::channel(8);
     tokio::task::spawn_local(discovery::watch(upstreams, inbox, Backoff::new(1, 0), held));
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -65,6 +65,8 @@
     Raw(String),
     /// These bytes, then the connection's end.
     RawThenClose(String),
+    /// Whatever this writes, or does.
+    Write(Box<dyn FnOnce(&mut TcpStream)>),
     /// Nothing, until the other side closes.
     Silence,
 }
@@ -122,6 +124,7 @@
                     drop(stream.shutdown(Shutdown::Both));
                     return;
                 }
+                Reply::Write(write) => write(&mut stream),
                 Reply::Silence => {}
             }
         }
@@ -346,6 +349,10 @@
     pub fn answer(&mut self) -> Option<Message> {
         Message::read(&mut self.reader)
     }
+    /// What comes, byte for byte.
+    pub fn bytes(&mut self) -> &mut BufReader<TcpStream> {
+        &mut self.reader
+    }
     /// The answer to a request; `None` when the connection ends without one.
     pub fn answer_to(&mut self, text: &str) -> Option<Message> {
         self.stream.write_all(text.as_bytes()).ok()?;
