--- /dev/null
+++ b/benches/relay.rs
@@ -0,0 +1,123 @@
+//! What long answers cost: CPU of the gateway's process a request and a MiB, with and without the `streaming`
+//! section in one run, and its memory against the number of streams and their size. `cargo bench --bench relay`
+//! prints a row each. The backend and the clients are threads of this program, and not counted.
+#[path = "../tests/sockets/world.rs"]
+mod world;
+
+use std::io::{BufRead, Read, Write};
+use world::*;
+
+const KIB: usize = 1 << 10;
+const MIB: usize = 1 << 20;
+const ROUNDS: usize = 5;
+const CLIENTS: usize = 2;
+/// The kernel's unit of CPU time in /proc, in seconds.
+const TICK: f64 = 0.01;
+
+/// A gateway before one backend that answers with so many bytes.
+fn gateway(streaming: bool, length: usize) -> (Stub, Discovery, Stub, Node) {
+    // In one piece: a head by itself would wait for its acknowledgement.
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{}", "x".repeat(length));
+    let answer = std::sync::Arc::new(answer);
+    let backend = Stub::start(move |_| {
+        let answer = answer.clone();
+        // A client that leaves ends it.
+        Reply::Write(Box::new(move |stream| _ = stream.write_all(answer.as_bytes())))
+    });
+    let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
+    let counter = counter();
+    let mut config =
+        config(discovery.stub.address, counter.address).replace("\"tick\":4000", "\"tick\":1000");
+    if streaming {
+        config = config.replacen('{', "{\"streaming\":{},", 1);
+    }
+    let node = Node::spawn(program(&config));
+    node.wait_ready();
+    (backend, discovery, counter, node)
+}
+
+/// Seconds of CPU that a process had, to a hundredth.
+fn cpu(node: &Node) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", node.child.id())).expect("it runs");
+    let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
+    let ticks = |i: usize| fields.get(i).and_then(|t| t.parse::<f64>().ok()).expect("a number");
+    (ticks(11) + ticks(12)) * TICK
+}
+
+/// Its memory now, in MiB.
+fn memory(node: &Node) -> f64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", node.child.id())).expect("it runs");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("a figure");
+    line.split_whitespace().nth(1).and_then(|kb| kb.parse::<f64>().ok()).expect("a number") / 1024.0
+}
+
+/// Asks and reads the head; returns the length of the body.
+fn ask(client: &mut Client, number: usize) -> usize {
+    client.send(&request("look", 4000).replace("9b1f03aa", &format!("{number:08x}")));
+    let lines = client.bytes().lines().map_while(Result::ok);
+    let head: Vec<String> = lines.take_while(|line| !line.is_empty()).map(|l| l.to_lowercase()).collect();
+    assert!(head[0].contains(" 200 "), "{head:?}");
+    let length = head.iter().find_map(|line| line.strip_prefix("content-length: "));
+    length.and_then(|length| length.parse().ok()).expect("a length")
+}
+
+/// So many clients, each with its part of the requests one after another.
+fn together(node: &Node, requests: usize) {
+    std::thread::scope(|scope| {
+        for part in 0..CLIENTS {
+            scope.spawn(move || {
+                let (mut client, mut buffer) = (node.client(), vec![0; 256 * KIB]);
+                for number in (part..requests).step_by(CLIENTS) {
+                    let mut left = ask(&mut client, number);
+                    while left > 0 {
+                        let most = left.min(buffer.len());
+                        left -= client.bytes().read(&mut buffer[..most]).expect("it goes on");
+                    }
+                }
+            });
+        }
+    });
+}
+
+fn main() {
+    println!("CPU of the gateway, {CLIENTS} clients; minimum, median and maximum of {ROUNDS} rounds");
+    for (length, requests) in [(KIB, 400), (60 * KIB, 400), (16 * MIB, 20)] {
+        let ways = if length <= 64 * KIB { vec![false, true] } else { vec![true] };
+        let mut worlds: Vec<_> = ways.iter().map(|&on| (on, gateway(on, length), Vec::new())).collect();
+        // The first round is not counted.
+        for round in 0..=ROUNDS {
+            for (_, (_, _, _, node), seen) in &mut worlds {
+                let before = cpu(node);
+                together(node, requests);
+                seen.extend(Some(cpu(node) - before).filter(|_| round > 0));
+            }
+        }
+        for (on, _, mut seen) in worlds {
+            seen.sort_by(f64::total_cmp);
+            let a_request = |i: usize| seen[i] / requests as f64 * 1e6;
+            let a_mib = seen[ROUNDS / 2] / (requests * length) as f64 * MIB as f64 * 1e6;
+            println!(
+                "{:>6} KiB  {:<10}  us a request: {:>6.0} min {:>6.0} median {:>6.0} max   us a MiB: {a_mib:>6.0}",
+                length / KIB,
+                if on { "streaming" } else { "collecting" },
+                a_request(0),
+                a_request(ROUNDS / 2),
+                a_request(ROUNDS - 1),
+            );
+        }
+    }
+    println!("memory of the gateway, MiB, with so many streams whose clients read nothing");
+    for length in [MIB, 16 * MIB] {
+        for streams in [0, 1, 10, 40] {
+            let (_backend, _discovery, _counter, node) = gateway(true, length);
+            let open: Vec<Client> = (0..streams)
+                .map(|number| {
+                    let mut client = node.client();
+                    ask(&mut client, number);
+                    client
+                })
+                .collect();
+            println!("{:>6} MiB  {:>3} streams: {:.1}", length / MIB, open.len(), memory(&node));
+        }
+    }
+}
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -309,6 +309,29 @@
     assert_eq!(connections[2], 3, "then a new one, though one stands idle: {connections:?}");
 }
 
+#[test]
+fn a_grant_that_crosses_its_waiters_end_goes_to_the_pool() {
+    let stub = Stub::start(|_| http("200 OK", "ok"));
+    let pool = pool(8, LONG, LONG);
+    let backend = backend(&pool, &stub);
+    on_runtime(async {
+        let mut waiter = Box::pin(pool.checkout(&backend, Instant::now() + LONG));
+        tokio::select! {
+            biased;
+            _ = &mut waiter => panic!("nothing is idle"),
+            () = std::future::ready(()) => {}
+        }
+        while pool.gauges().in_use == 0 {
+            tokio::task::yield_now().await;
+        }
+        // It is granted, and its waiter goes without having heard of it.
+        drop(waiter);
+        assert_eq!((pool.gauges().idle, pool.gauges().in_use), (1, 0));
+        assert_eq!(attempt(&pool, &backend, LONG).await.outcome, Outcome::Ok);
+    });
+    assert_eq!((pool.counters().dials, pool.counters().reused), (1, 1));
+}
+
 #[test]
 fn a_thousand_attempts_called_off_at_any_moment_leave_nothing_open() {
     let seen = AtomicUsize::new(0);
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -427,11 +427,47 @@
     let links: Vec<Fake> = (0..20).map(|_| rig.fresh(at)).collect();
     (0..5).for_each(|_| rig.book.turned_away(rig.now, at));
     assert_eq!(rig.book.bound(at), Some((14, 20)));
+    let mut links = links;
+    links.drain(..10).for_each(|link| rig.give_back(at, link));
+    rig.book.turned_away(rig.now, at);
+    assert_eq!(rig.book.bound(at).map(|(most, _)| most), Some(14), "the same news");
+    rig.pass(100 * MS);
+    rig.book.turned_away(rig.now, at);
+    assert_eq!(rig.book.bound(at).map(|(most, _)| most), Some(7), "ten were in use");
     links.into_iter().for_each(|link| rig.give_back(at, link));
-    assert_eq!(rig.book.bound(at), Some((14, 14)), "what is over it is not kept");
+    let (most, held) = rig.book.bound(at).expect("listed");
+    assert!(held <= 10 && most == 7, "what is over it is not kept: {held}");
     rig.check();
 }
 
+#[test]
+fn a_refused_dial_lowers_the_bound_below_what_is_up_and_its_waiter_waits_for_that() {
+    let mut rig = Rig::new(serde_json::json!({"backend_most": 20}));
+    let at = rig.backends(1)[0];
+    let mut links: Vec<Fake> = (0..10).map(|_| rig.fresh(at)).collect();
+    let (waiter, dial) = rig.wait(at);
+    assert!(dial);
+    assert!(rig.book.dialled(rig.now, at, Err(DialError::Refused)).failed.is_empty());
+    assert_eq!(rig.book.bound(at), Some((8, 10)));
+    let link = links.pop().expect("ten");
+    rig.give_back(at, link);
+    rig.pass(SETTLE);
+    assert_eq!(rig.book.serve(rig.now, at).map(|(whose, _)| whose), Some(waiter));
+}
+
+#[test]
+fn requests_that_wait_are_bounded_over_all_backends_together() {
+    let mut rig = Rig::new(serde_json::json!({"waiting": 4, "backend_waiting": 2}));
+    let ends = rig.backends(3);
+    for &at in &ends[..2] {
+        (0..2).for_each(|_| _ = rig.wait(at));
+        assert_eq!(rig.denied(at), NoLink::Full);
+    }
+    assert_eq!(rig.denied(ends[2]), NoLink::Exhausted);
+    assert!(rig.came_up(ends[0]).is_some());
+    rig.wait(ends[2]);
+}
+
 #[test]
 fn a_flood_at_a_hung_backend_leaves_the_others_their_connections() {
     let mut rig = Rig::new(none());
