Module: a long transfer binds its request to one attempt

Need: streamed answers were told to the module as served at commitment, so that a break afterwards was held against nobody and streams under way were not seen; an upload that can't be sent again had no event at all.

Change: StreamStarted names its attempt, UploadBound is new. Either binds the request: no further attempt, no deadline, others called off, and the attempt counts among its server's streams (for the choice of a server) instead of against the bound on attempts, as it lasts as long as its client takes. Its end is judged as any other. A bound upload that never reached its backend whole may still be refused as harmless. NoRoom is a new outcome: served, but no memory to pass it on; not tried again, and no fault of the server.

--- a/src/api.rs
+++ b/src/api.rs
@@ -229,6 +229,8 @@
     Cancelled,
     /// Never sent.
     Moot,
+    /// Served, but there was no memory to pass the answer on; it ran.
+    NoRoom,
 }
 
 impl Outcome {
@@ -308,8 +310,11 @@
     Request(Arrival),
     /// A timer came due.
     Timer(TimerId),
-    /// A streamed answer has started; the request is the client's now.
-    StreamStarted(RequestId),
+    /// The answer of this attempt has started to flow; the request is the client's now.
+    StreamStarted(RequestId, usize),
+    /// The start of an upload that this attempt carries can't be sent again. The time that is left now holds for
+    /// the transfer, which ends by itself.
+    UploadBound(RequestId, usize),
     /// The client is gone.
     ClientGone(RequestId),
     /// A probe ended.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -176,9 +176,8 @@
             Event::Servers(scope, entries) => self.on_servers(scope, entries),
             Event::Request(arrival) => self.on_request(arrival),
             Event::Timer(timer) => self.on_timer(timer),
-            Event::StreamStarted(id) => {
-                self.requests.get_mut(&id).into_iter().for_each(|r| r.streaming = true);
-            }
+            Event::StreamStarted(id, attempt) => self.bind(id, attempt, true),
+            Event::UploadBound(id, attempt) => self.bind(id, attempt, false),
             Event::ClientGone(id) => self.finish(id, None),
             Event::Probed(..) => {}
             Event::Counted(name, outcome, total) => self.on_counted(name, outcome, total),
@@ -197,7 +196,7 @@
     fn on_timer(&mut self, id: TimerId) {
         match self.timers.remove(&id) {
             // Every request has its answer by its deadline.
-            Some(Timer::Deadline(id)) if self.requests.get(&id).is_none_or(|r| r.done || r.streaming) => {}
+            Some(Timer::Deadline(id)) if self.requests.get(&id).is_none_or(|r| r.done || r.bound) => {}
             Some(Timer::Deadline(id)) => self.refuse(id),
             Some(Timer::Held) => {
                 self.hold_timer = false;
@@ -631,7 +630,7 @@
             && self.fail_share < CALM_SHARE;
         let early = r.arrived + class.aim.times(1.0 - SPARE_PART);
         let until = if again && early > now + class.aim.times(SPARE_PART) { early } else { r.a.deadline };
-        r.attempts.push(Attempt { server, sent: now, out: true, may_have_run: false });
+        r.attempts.push(Attempt { server, sent: now, out: true, may_have_run: false, bound: false });
         r.held_since = None;
         r.counted = None;
         let (units, until) = (r.a.units, until.min(r.a.deadline));
@@ -707,6 +706,30 @@
         }
     }
 
+    /// Binds a request to one of its attempts, a long transfer; others are called off.
+    fn bind(&mut self, id: RequestId, attempt: usize, streaming: bool) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        (r.bound, r.streaming) = (true, r.streaming || streaming);
+        let others = r.attempts.iter().enumerate().filter(|(i, a)| *i != attempt && a.out);
+        self.out.extend(others.filter(|_| self.set.may_cancel).map(|(i, _)| Action::Cancel(id, i)));
+        let Some(a) = r.attempts.get_mut(attempt).filter(|a| a.out && !a.bound) else { return };
+        a.bound = true;
+        let server = a.server;
+        self.leave(server, false);
+        self.servers.get_mut(&server).into_iter().for_each(|s| s.streams += 1.0);
+    }
+
+    /// One attempt less at a server.
+    fn leave(&mut self, server: ServerId, bound: bool) {
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        if bound {
+            s.streams = (s.streams - 1.0).max(0.0);
+        } else {
+            s.out = (s.out - 1.0).max(0.0);
+            self.out_now = (self.out_now - 1.0).max(0.0);
+        }
+    }
+
     fn on_attempt(&mut self, end: AttemptEnd) {
         let (id, outcome) = (end.id, end.outcome);
         let Some(r) = self.requests.get_mut(&id) else { return };
@@ -714,6 +737,7 @@
         let Some(a) = named.filter(|a| a.out && a.server == end.server) else { return };
         a.out = false;
         a.may_have_run = !outcome.never_ran();
+        let bound = a.bound;
         let (aim, was_done) = (self.set.classes[r.a.class.0].aim, r.done);
         r.done |= end.ended || outcome == Outcome::Ok;
         let (answered, in_time) = (r.done, self.now < r.arrived + aim);
@@ -724,10 +748,11 @@
         }
         let load = end.report.load().map(|new| self.load.map_or(new, |held| held + SMOOTH * (new - held)));
         self.load = load.or(self.load);
+        self.leave(end.server, bound);
         self.judge(end.server, outcome, end.took, aim);
         if answered {
             self.let_go(id);
-        } else if in_time && self.may_repeat(id) && self.retries >= 1.0 {
+        } else if outcome != Outcome::NoRoom && in_time && self.may_repeat(id) && self.retries >= 1.0 {
             self.retries -= 1.0;
             self.dispatch(id);
         } else if self.requests.get(&id).is_some_and(|r| !r.is_out()) {
@@ -795,7 +820,8 @@
             let slow = if self.latency > 0.0 { (s.latency / self.latency).clamp(0.7, 2.0) } else { 1.0 };
             let tried = r.attempts.iter().filter(|a| a.server == sid).count() as f64;
             let far = if s.zone == self.set.zone { 0.0 } else { 0.05 * scale };
-            let mut score = (s.out + 1.0) * slow / s.weight * (1.0 + 3.0 * s.fail_share) + 4.0 * tried;
+            let mut score =
+                (s.out + s.streams + 1.0) * slow / s.weight * (1.0 + 3.0 * s.fail_share) + 4.0 * tried;
             score *= 1.0 + 0.1 * (mix(salt ^ sid.0) as f64 / u64::MAX as f64) + far;
             // One on trial is asked first, or it would never be tried again, and one where it is our turn.
             let first = s.trial || s.cold_since.is_some() && self.sparse();
@@ -819,8 +845,6 @@
         // Guards against shedding for work that takes long by itself while the servers have room.
         let free = self.sparse() && self.load.is_some_and(|load| load < BUSY_LOAD);
         let Some(s) = self.servers.get_mut(&server) else { return };
-        s.out = (s.out - 1.0).max(0.0);
-        self.out_now = (self.out_now - 1.0).max(0.0);
         // Guards against servers that hold too much and work worse for it, by overload or by a trouble of
         // their own: the bound gives way fast and comes back slowly. May hurt just after short stalls.
         let held = took + Micros(2 * s.latency as u64);
@@ -835,7 +859,8 @@
         {
             s.limit += LIMIT_GROW;
         }
-        let bad = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) || took > aim;
+        let no_fault = matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot | Outcome::NoRoom);
+        let bad = !no_fault || took > aim;
         self.fail_share += SMOOTH / 3.0 * (f64::from(u8::from(bad)) - self.fail_share);
         if outcome == Outcome::Ok {
             let sample = took.0 as f64;
@@ -856,7 +881,7 @@
                 s.cold_room = TokenBucket { level: 0.0, depth: 1.0, rate: 0.0, at: now };
             }
         }
-        if matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) {
+        if no_fault {
             return;
         }
         if outcome == Outcome::Full {
@@ -930,7 +955,7 @@
             let started = e.started.filter(|&at| now < at + cold);
             if started.is_some_and(|started| s.cold_since.is_none_or(|at| at < started)) {
                 // A new life: nothing held against the old one counts, and it starts slowly.
-                *s = Server { out: s.out, ..new() };
+                *s = Server { out: s.out, streams: s.streams, ..new() };
                 let level = -units * (1.0 + self.rng.f64()); // Seeded: gateways do not all send at once.
                 s.cold_room = TokenBucket { level, depth: 1.0, rate: 0.0, at: now };
             }
@@ -939,7 +964,7 @@
             s.listed = e.listed == Listed::InService;
         }
         // Guards against growing with every server there ever was.
-        self.servers.retain(|_, s| s.listed || s.out > 0.0);
+        self.servers.retain(|_, s| s.listed || s.out + s.streams > 0.0);
         self.ring = self.servers.iter().filter(|(_, s)| s.listed).map(|(&id, _)| id).collect();
         self.serve_held();
     }
@@ -953,8 +978,7 @@
     /// Whether this request may go to this server now: lists and drains, effect, copies, cold servers.
     fn may_send(&self, r: &Request, s: &Server) -> bool {
         let class = &self.set.classes[r.a.class.0];
-        let over =
-            r.done || r.streaming || self.now >= r.a.deadline || r.attempts.len() >= self.set.max_attempts;
+        let over = r.done || r.bound || self.now >= r.a.deadline || r.attempts.len() >= self.set.max_attempts;
         let pushed = s.cold_since.is_some() && s.cold_room.level <= 0.0;
         let second = r.is_out() && !self.set.second_copies;
         if over || pushed || second || !s.listed {
--- a/src/state.rs
+++ b/src/state.rs
@@ -109,6 +109,8 @@
     pub(crate) sent: Micros,
     pub(crate) out: bool,
     pub(crate) may_have_run: bool,
+    /// A long transfer: it counts among its server's streams, not against the bound on attempts.
+    pub(crate) bound: bool,
 }
 
 #[derive(Debug, Default)]
@@ -123,6 +125,9 @@
     /// Count calls made for it whose answers are still to come.
     pub(crate) asking: u32,
     pub(crate) held_since: Option<Micros>,
+    /// One of its attempts is a long transfer: nothing further is sent, and no deadline applies.
+    pub(crate) bound: bool,
+    /// The client has the start of its answer.
     pub(crate) streaming: bool,
     pub(crate) done: bool,
 }
@@ -141,6 +146,8 @@
     pub(crate) weight: f64,
     pub(crate) listed: bool,
     pub(crate) out: f64,
+    /// Long transfers under way, which last as long as their clients take.
+    pub(crate) streams: f64,
     pub(crate) latency: f64,
     pub(crate) limit: f64,
     pub(crate) fail_share: f64,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -99,7 +99,9 @@
                 })
             }
             "RING" => Event::Timer(TimerId(f.whole("ref")?)),
-            "FIRST_BYTE" => Event::StreamStarted(RequestId(f.whole("ref")?)),
+            "FIRST_BYTE" => {
+                Event::StreamStarted(RequestId(f.whole("ref")?), f.whole_or("trial", 0)? as usize)
+            }
             "TIMED_OUT_CLIENT" => Event::ClientGone(RequestId(f.whole("ref")?)),
             "PONG" => Event::Probed(self.site.server(f.text("backend")?), f.outcome()?, f.report()?),
             "COUNT_RESULT" => {
