Uploads pass on as they arrive, where a streaming section allows it

Need: a client's body was collected whole, up to 64 KiB, before anybody was asked.

Change: with the section, a request is admitted from its head. What comes of its body is kept up to `hold_kb`, so that another attempt can send it again; past that it is bound to the attempt that carries it. An attempt may have run only from its last byte on; what is cut off before never ran. An early answer ends the upload. A refused upload is answered at once, the connection closed after a short linger, and `Expect: 100-continue` is answered only once an attempt asks for the body. Chunked uploads are taken where the head was seen to name no length as well (`net/framing.rs`, as hyper drops it). Time: the least rate counts against whichever side is waited for; after the last byte the client's budget holds. Memory: what finds none within `wait_ms` is refused with Retry-After. A stream's end is told to the module, with a time-out only where the backend was the one waited for. `Metered` becomes `net/tapped.rs`, which both sides share.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -1,9 +1,9 @@
 //! Attempts at backends, and the outcome of each by what was written.
 
-use super::http::{CallError, Received, Traffic};
+use super::http::{CallError, Outgoing, Received, Traffic};
 use super::pool::{Backend, NoLink, Pool};
-use super::relay::{Relay, Relays, Served};
-use crate::api::{Outcome, Report};
+use super::relay::{Relay, Relays, Sending, Served, Upload};
+use crate::api::{Micros, Outcome, Report};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -11,7 +11,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::sync::oneshot;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 /// How long the client waits; to a backend: how long this gateway does.
 pub const BUDGET: HeaderName = HeaderName::from_static("x-budget-ms");
@@ -28,12 +28,31 @@
     /// Its headers, without those that hold for the client's connection alone.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Payload,
+}
+
+/// The body of a client's request.
+#[derive(Debug)]
+pub enum Payload {
+    /// Whole.
+    Whole(Bytes),
+    /// As it comes.
+    Upload(Rc<Upload>),
+}
+
+impl Payload {
+    /// What still comes, where it does.
+    pub fn upload(&self) -> Option<&Rc<Upload>> {
+        match self {
+            Payload::Whole(_) => None,
+            Payload::Upload(upload) => Some(upload),
+        }
+    }
 }
 
 impl Forward {
-    fn request(&self, until: Instant) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    fn request(&self, until: Instant, body: Outgoing) -> Request<Outgoing> {
+        let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
@@ -67,39 +86,91 @@
     pub body: Option<Served>,
     /// What the backend said of its load.
     pub report: Report,
+    /// A part of its time in which the backend was not waited for.
+    pub waited: Micros,
+    /// Tells how a body that is still arriving ended.
+    pub over: Option<oneshot::Receiver<Outcome>>,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Ended {
-        Ended { outcome, body: None, report: Report::default() }
+        Ended { outcome, body: None, report: Report::default(), waited: Micros(0), over: None }
+    }
+}
+
+/// One attempt as the driver has ordered it.
+pub struct Order {
+    /// Which of its request's attempts it is, from 0.
+    pub number: usize,
+    /// It ends by then, unless it carries a long upload.
+    pub until: Instant,
+    /// Told when it is called off.
+    pub called_off: oneshot::Receiver<()>,
+}
+
+/// What the request of an attempt may have been written to, and how far it went.
+#[derive(Default)]
+struct Written {
+    traffic: Option<Rc<Traffic>>,
+    upload: Option<Rc<Sending>>,
+}
+
+impl Written {
+    /// The backend can't have all of an upload.
+    fn in_part(&self) -> bool {
+        self.upload.as_ref().is_some_and(|sending| !sending.is_done())
     }
 }
 
-/// Makes one attempt and returns how it ended, its connection closed or back in the pool. It ends by `until`, or
-/// when called off.
+/// Makes one attempt and returns how it ended, its connection closed or back in the pool. It ends in time, or when
+/// called off.
 pub async fn attempt(
     pool: &Rc<Pool>,
     relays: &Relays,
     backend: &Backend,
     request: &Forward,
-    until: Instant,
-    called_off: oneshot::Receiver<()>,
+    order: Order,
 ) -> Ended {
-    // What went over the connection that the request may have been written to.
-    let traffic = RefCell::new(None);
+    let Order { number, until, called_off } = order;
+    let written = RefCell::new(Written::default());
     tokio::select! {
         biased;
-        _ = called_off => Outcome::Cancelled.into(),
-        () = sleep_until(until) => match traffic.take() {
-            Some(traffic) => {
+        _ = called_off => match written.borrow().in_part() {
+            true => Outcome::Moot.into(),
+            false => Outcome::Cancelled.into(),
+        },
+        () = time(relays, request, number, until) => match written.take() {
+            written if written.in_part() => outcome_in_part(request).into(),
+            Written { traffic: Some(traffic), .. } => {
                 if !Traffic::heard(&traffic) {
                     pool.silent(backend);
                 }
                 Outcome::Timeout.into()
             }
-            None => Outcome::ConnectFailed.into(),
+            Written { traffic: None, .. } => Outcome::ConnectFailed.into(),
         },
-        ended = exchange(pool, relays, backend, request, until, &traffic) => ended,
+        ended = exchange(pool, relays, backend, request, number, until, &written) => ended,
+    }
+}
+
+/// The time of an attempt: by `until`, or while it alone can carry an upload, as long as that goes on.
+async fn time(relays: &Relays, request: &Forward, number: usize, until: Instant) {
+    let (Some(upload), Some(set)) = (request.body.upload(), relays.bounds()) else {
+        return sleep_until(until).await;
+    };
+    tokio::select! {
+        biased;
+        () = upload.bound_to(number) => upload.time_of_backend(&set).await,
+        () = sleep_until(until) => {}
+    }
+}
+
+/// What an upload that did not reach its backend whole says of it: it never ran, and where the client is the one
+/// waited for, the backend is not to blame.
+fn outcome_in_part(request: &Forward) -> Outcome {
+    match request.body.upload().is_some_and(|upload| upload.waits_for_client()) {
+        true => Outcome::Moot,
+        false => Outcome::ConnectFailed,
     }
 }
 
@@ -108,8 +179,9 @@
     relays: &Relays,
     backend: &Backend,
     request: &Forward,
+    number: usize,
     until: Instant,
-    traffic: &RefCell<Option<Rc<Traffic>>>,
+    written: &RefCell<Written>,
 ) -> Ended {
     loop {
         let mut lease = match pool.checkout(backend, until).await {
@@ -122,12 +194,28 @@
         }
         let reused = lease.reused;
         let Some(connection) = lease.connection() else { return Outcome::Moot.into() };
-        // From here on the attempt may have run, for all that a caller who stops waiting can know.
-        *traffic.borrow_mut() = Some(connection.traffic());
+        let (body, sending) = match &request.body {
+            Payload::Whole(body) => (Outgoing::Whole(Full::new(body.clone())), None),
+            Payload::Upload(upload) => {
+                let carried = upload.carry(number);
+                let state = carried.state();
+                (Outgoing::Streamed(Box::pin(carried)), Some(state))
+            }
+        };
+        // From here on the attempt may have run, for all that a caller who stops waiting can know; one that
+        // carries an upload, from its last byte on.
+        *written.borrow_mut() = Written { traffic: Some(connection.traffic()), upload: sending.clone() };
         let set = relays.settings();
-        let received = match set {
-            None => connection.call(request.request(until)).await.map(Received::Whole),
-            Some(set) => connection.call_up_to(request.request(until), set.hold).await,
+        let received = match connection.begin(request.request(until, body)).await {
+            Err(error) => Err(error),
+            Ok(response) => {
+                // An answer that comes early ends the upload.
+                sending.iter().filter(|sending| !sending.is_done()).for_each(|sending| sending.stop());
+                match set {
+                    None => connection.read_whole(response).await.map(Received::Whole),
+                    Some(set) => connection.read_up_to(response, set.hold).await,
+                }
+            }
         };
         match received {
             Ok(Received::Whole(response)) => {
@@ -137,7 +225,9 @@
                     Outcome::Full => pool.turned_away(backend),
                     _ => pool.heard(backend),
                 }
-                lease.give_back();
+                if !written.borrow().in_part() {
+                    lease.give_back();
+                }
                 return ended;
             }
             Ok(Received::Longer(response, held)) => {
@@ -147,16 +237,27 @@
                 let Some(set) = set.filter(|_| head.status == StatusCode::OK) else {
                     return outcome_of(Response::from_parts(head, Served::Whole(Bytes::new())));
                 };
-                let Some(room) = relays.room(&set).await else { return Outcome::Reset.into() };
-                let relay = Relay::new(held, lease, rest, room);
-                return outcome_of(Response::from_parts(head, Served::Long(Box::new(relay))));
+                let since = Instant::now();
+                let room = timeout_at(until.min(since + set.wait), relays.room(set.stream())).await;
+                let waited = Micros(since.elapsed().as_micros() as u64);
+                let Ok(Some(room)) = room else { return Ended { waited, ..Outcome::NoRoom.into() } };
+                let (told, over) = oneshot::channel();
+                let whole = !written.borrow().in_part();
+                let relay = Relay::new(held, lease, rest, whole, told, room);
+                let ended = outcome_of(Response::from_parts(head, Served::Long(Box::new(relay))));
+                return Ended { waited, over: Some(over), ..ended };
             }
             // Guards against a pooled connection that was closed just before it was written to.
-            Err(CallError::NotSent) if reused => *traffic.borrow_mut() = None,
+            Err(CallError::NotSent) if reused && request.body.upload().is_none_or(|up| up.is_kept()) => {
+                written.take();
+            }
             Err(CallError::NotSent) => return Outcome::ConnectFailed.into(),
             Err(CallError::Broken) => {
                 pool.heard(backend);
-                return Outcome::Reset.into();
+                return match written.borrow().in_part() {
+                    true => outcome_in_part(request).into(),
+                    false => Outcome::Reset.into(),
+                };
             }
         }
     }
@@ -183,7 +284,7 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => (Outcome::Full, None),
         _ => (Outcome::Error, None),
     };
-    Ended { outcome, body, report }
+    Ended { body, report, ..outcome.into() }
 }
 
 /// Reads `TEXT depth=2, load_share=0.61`, fields named as in the settings. What can't be read is passed over: a
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,7 +1,7 @@
 //! The one owner of the decision module: events in, actions out, timers. It translates and never chooses;
 //! its request table sees to it that every request gets exactly one final answer.
 
-use super::backend::{attempt, Ended, Forward};
+use super::backend::{self, attempt, Ended, Forward};
 use super::config::{Config, ConfigError, MemberList, Phase, Upstreams};
 use super::counter::{Counted, Counter, Order};
 use super::pool::{Backend, Pool};
@@ -13,6 +13,7 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -42,7 +43,7 @@
     Failed,
 }
 
-/// A request that a client has sent whole.
+/// A request that a client has sent, whole or but for the rest of an upload.
 pub struct Taken {
     /// What the module is told of it. Its id is new, whatever the client called it.
     pub arrival: Arrival,
@@ -64,8 +65,13 @@
     Counter(Option<SocketAddr>),
     /// A call to the counter ended.
     Counted(CountName, u64, Counted),
-    /// An attempt ended: its request, number and backend, how, and how long it was out.
+    /// An attempt ended, or its answer is the client's from here on: its request, number and backend, how, and how
+    /// long it was out.
     Ended(RequestId, usize, ServerId, Ended, Micros),
+    /// Only this attempt can carry its request's upload any further.
+    Bound(RequestId, usize),
+    /// The answer of an attempt that was the client's already ended.
+    Over(RequestId, usize, Outcome),
 }
 
 /// The clock of the module: Unix time, which all gateways share, but never going back.
@@ -105,6 +111,14 @@
     out: bool,
     /// Calls it off.
     call_off: Option<oneshot::Sender<()>>,
+    /// What is told of it once its answer, which is still on its way, has ended.
+    begun: Option<(ServerId, Report, Micros)>,
+}
+
+impl Attempt {
+    fn new(call_off: Option<oneshot::Sender<()>>) -> Attempt {
+        Attempt { out: call_off.is_some(), call_off, begun: None }
+    }
 }
 
 impl Open {
@@ -309,14 +323,35 @@
             }
             Input::Ended(id, attempt, server, ended, took) => {
                 let Some(open) = self.requests.get_mut(&id) else { return };
-                open.attempts.get_mut(attempt).into_iter().for_each(|a| a.out = false);
+                let Some(a) = open.attempts.get_mut(attempt) else { return };
                 // The first 200 is the client's at once and ends the request; the module hears of it. One that
                 // comes second, or for nobody, ends here with its connection.
                 if let Some((body, reply)) = ended.body.and_then(|body| Some((body, open.reply.take()?))) {
+                    if matches!(body, Served::Long(_)) {
+                        a.begun = Some((server, ended.report, took));
+                        self.batch.push(Event::StreamStarted(id, attempt));
+                    }
                     let _ = reply.send(Answer::Served(body));
+                    if a.begun.is_some() {
+                        return;
+                    }
                 }
+                a.out = false;
                 self.ended(id, attempt, server, ended.outcome, ended.report, took);
             }
+            Input::Bound(id, attempt) => {
+                if self.requests.get(&id).is_some_and(|open| open.reply.is_some()) {
+                    self.batch.push(Event::UploadBound(id, attempt));
+                }
+            }
+            Input::Over(id, attempt, outcome) => {
+                let open = self.requests.get_mut(&id);
+                let Some(a) = open.and_then(|open| open.attempts.get_mut(attempt)) else { return };
+                // One that was nobody's ended before.
+                let Some((server, report, took)) = a.begun.take() else { return };
+                a.out = false;
+                self.ended(id, attempt, server, outcome, report, took);
+            }
         }
     }
 
@@ -425,19 +460,38 @@
         let backend = self.backends.get(&server).filter(|_| open.reply.is_some()).cloned();
         let Some(backend) = backend else {
             // The client went, or the list changed, after the module was told last.
-            open.attempts.push(Attempt { out: false, call_off: None });
+            open.attempts.push(Attempt::new(None));
             return self.ended(id, number, server, Outcome::Moot, Report::default(), Micros(0));
         };
         let (call_off, called_off) = oneshot::channel();
-        open.attempts.push(Attempt { out: true, call_off: Some(call_off) });
+        open.attempts.push(Attempt::new(Some(call_off)));
         let (pool, relays) = (self.pool.clone(), self.relays.clone());
         let (forward, inbox) = (open.forward.clone(), self.inbox.clone());
         let (until, clock) = (self.clock.instant(until), self.clock);
         tokio::task::spawn_local(async move {
-            let ended = attempt(&pool, &relays, &backend, &forward, until, called_off).await;
-            let took = clock.now() - now;
+            let order = backend::Order { number, until, called_off };
+            let mut work = pin!(attempt(&pool, &relays, &backend, &forward, order));
+            let bound = async {
+                match forward.body.upload() {
+                    Some(upload) => upload.bound_to(number).await,
+                    None => std::future::pending().await,
+                }
+            };
             // The driver outlives every attempt but for the exit of the process.
+            let mut ended = tokio::select! {
+                biased;
+                () = bound => {
+                    let _ = inbox.send(Input::Bound(id, number)).await;
+                    work.await
+                }
+                ended = &mut work => ended,
+            };
+            let (took, over) = (clock.now() - now - ended.waited, ended.over.take());
             let _ = inbox.send(Input::Ended(id, number, server, ended, took)).await;
+            if let Some(over) = over {
+                let outcome = over.await.unwrap_or(Outcome::Cancelled);
+                let _ = inbox.send(Input::Over(id, number, outcome)).await;
+            }
         });
     }
 
@@ -457,3 +511,95 @@
 fn duration(span: Micros) -> Duration {
     Duration::from_micros(span.0)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::backend::Payload;
+    use hyper::{HeaderMap, Method};
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::task::LocalSet;
+
+    const CONFIG: &str = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","streaming":{},
+        "settings":{"balancers":1,"my_number":0,"tick":1000,"zone":"a","zones":["a"],
+        "bounds":{"max_attempts":3,"may_cancel":true,"second_copies":true},
+        "classes":[{"name":"look","effect":"pure","deadline":4000000,"on_time":1000000}],
+        "plans":[{"name":"team","per_second":0.0,"peak_units":1.0,"price":1.0}],
+        "specifics":{"counter":false,"units_top":4},"rules":{"cold":1,"cold_from":0.2,"fall_multiple":2.0}}}"#;
+
+    /// A backend that begins long answers and goes on once told, then reads to the end of its connection.
+    async fn backend_with_long_answers(go_on: Rc<tokio::sync::Notify>) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("bound");
+        tokio::task::spawn_local(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let go_on = go_on.clone();
+                tokio::task::spawn_local(async move {
+                    let mut asked = [0; 1024];
+                    assert!(stream.read(&mut asked).await.is_ok_and(|read| read > 0));
+                    let head = b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n";
+                    stream.write_all(&[&head[..], &[b'x'; 100_000]].concat()).await.expect("it reads");
+                    go_on.notified().await;
+                    // One that was called off is closed by now.
+                    let _ = stream.write_all(&[b'x'; 100_000]).await;
+                    let _ = stream.read(&mut asked).await;
+                });
+            }
+        });
+        address
+    }
+
+    #[tokio::test(flavor = "current_thread")]
+    async fn of_two_copies_past_their_heads_one_is_the_client_s_and_the_other_ends() {
+        let testing = async {
+            let go_on = Rc::<tokio::sync::Notify>::default();
+            let address = backend_with_long_answers(go_on.clone()).await;
+            let config = Config::parse(CONFIG, None, None).expect("a configuration that makes sense");
+            let mut driver = Driver::new(config, Clock::start(), Rc::default()).expect("a driver");
+            let (reply, answer) = oneshot::channel();
+            let (method, uri) = (Method::GET, "/".parse().expect("a path"));
+            let body = Payload::Whole(bytes::Bytes::new());
+            let forward = Rc::new(Forward { method, uri, headers: HeaderMap::new(), body });
+            let (id, mut copies) = (RequestId(1), Vec::new());
+            let mut open = Open { reply: Some(reply), forward: forward.clone(), attempts: Vec::new() };
+            for number in 0..2 {
+                let backend = driver.pool.backend(address, number as u64, None);
+                let until = Instant::now() + Duration::from_secs(10);
+                let (call_off, called_off) = oneshot::channel();
+                let order = backend::Order { number, until, called_off };
+                open.attempts.push(Attempt::new(Some(call_off)));
+                copies.push(attempt(&driver.pool, &driver.relays, &backend, &forward, order).await);
+            }
+            driver.requests.insert(id, open);
+            assert!(copies.iter().all(|copy| matches!(copy.body, Some(Served::Long(_)))));
+            let over: Vec<_> = copies.iter_mut().filter_map(|copy| copy.over.take()).collect();
+            for (number, copy) in copies.into_iter().enumerate() {
+                driver.take(Input::Ended(id, number, ServerId(number as u64), copy, Micros(1000)));
+            }
+            let outcomes = |driver: &Driver| {
+                let ended = driver.batch.iter().filter_map(|event| match event {
+                    Event::AttemptEnded(end) => Some((end.attempt, end.outcome, end.ended)),
+                    _ => None,
+                });
+                ended.collect::<Vec<_>>()
+            };
+            assert!(driver.batch.iter().any(|event| matches!(event, Event::StreamStarted(_, 0))));
+            assert_eq!(outcomes(&driver), [(1, Outcome::Ok, true)], "the first is still on its way");
+            assert_eq!(driver.pool.gauges().in_use, 1, "the second's connection is closed");
+            let Ok(Answer::Served(Served::Long(relay))) = answer.await else {
+                panic!("an answer that flows")
+            };
+            go_on.notify_waiters();
+            let all = http_body_util::BodyExt::collect(*relay).await.expect("it ends well").to_bytes();
+            assert_eq!(all.len(), 200_000);
+            for (number, over) in over.into_iter().enumerate() {
+                driver.take(Input::Over(id, number, over.await.expect("told")));
+            }
+            assert_eq!(outcomes(&driver), [(1, Outcome::Ok, true), (0, Outcome::Ok, true)], "each once");
+            driver.tidy(id);
+            assert!(driver.requests.is_empty());
+        };
+        LocalSet::new().run_until(testing).await;
+    }
+}
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,9 +1,10 @@
 //! One HTTP/1.1 connection to a backend, the counter or discovery. It never sends anything by itself: a call
 //! is written once, and the caller learns whether any of it was.
 
+use super::tapped::{Tap, Tapped};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
 use hyper::{header, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -17,7 +18,6 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tracing::debug;
@@ -56,62 +56,67 @@
     }
 }
 
-/// A socket that remembers whether anything was written to it or came back. It is shared with who wants to
-/// look at it between calls.
-struct Metered {
-    stream: Rc<RefCell<TcpStream>>,
-    traffic: Rc<Traffic>,
-}
-
-impl Metered {
-    /// Polls the stream itself.
-    fn with<T>(&self, poll: impl FnOnce(Pin<&mut TcpStream>) -> T) -> T {
-        poll(Pin::new(&mut *self.stream.borrow_mut()))
+impl Tap for Rc<Traffic> {
+    fn read(&self, bytes: &[u8]) {
+        self.heard.set(self.heard.get() || !bytes.is_empty());
     }
-    fn note(&self, done: &Poll<io::Result<usize>>) {
-        self.traffic.wrote.set(self.traffic.wrote.get() || matches!(done, Poll::Ready(Ok(n)) if *n > 0));
+    fn wrote(&self, bytes: usize) {
+        self.wrote.set(self.wrote.get() || bytes > 0);
     }
 }
 
-impl AsyncRead for Metered {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let done = self.with(|stream| stream.poll_read(cx, buf));
-        self.traffic.heard.set(self.traffic.heard.get() || buf.filled().len() > before);
-        done
-    }
+/// A body that streams to a backend.
+pub type Streamed = Pin<Box<dyn Body<Data = Bytes, Error = io::Error>>>;
+
+/// The body of a request.
+pub enum Outgoing {
+    /// Whole.
+    Whole(Full<Bytes>),
+    /// As it comes.
+    Streamed(Streamed),
 }
 
-impl AsyncWrite for Metered {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let done = self.with(|stream| stream.poll_write(cx, buf));
-        self.note(&done);
-        done
-    }
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context,
-        bufs: &[io::IoSlice],
-    ) -> Poll<io::Result<usize>> {
-        let done = self.with(|stream| stream.poll_write_vectored(cx, bufs));
-        self.note(&done);
-        done
+impl From<Full<Bytes>> for Outgoing {
+    fn from(body: Full<Bytes>) -> Outgoing {
+        Outgoing::Whole(body)
     }
-    fn is_write_vectored(&self) -> bool {
-        self.stream.borrow().is_write_vectored()
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match self.get_mut() {
+            Outgoing::Whole(body) => {
+                Pin::new(body).poll_frame(cx).map_err(|never: std::convert::Infallible| match never {})
+            }
+            Outgoing::Streamed(body) => body.as_mut().poll_frame(cx),
+        }
     }
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        self.with(|stream| stream.poll_flush(cx))
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Outgoing::Whole(body) => body.is_end_stream(),
+            Outgoing::Streamed(body) => body.is_end_stream(),
+        }
     }
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        self.with(|stream| stream.poll_shutdown(cx))
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Outgoing::Whole(body) => body.size_hint(),
+            Outgoing::Streamed(body) => body.size_hint(),
+        }
     }
 }
 
+/// The protocol machine of one connection, with a look at its bytes.
+type Machine = http1::Connection<TokioIo<Tapped<Rc<Traffic>>>, Outgoing>;
+
 /// A connection and its protocol machine. Dropping it closes the socket at once, whatever is under way.
 pub struct Connection {
-    sender: http1::SendRequest<Full<Bytes>>,
-    machine: Pin<Box<http1::Connection<TokioIo<Metered>, Full<Bytes>>>>,
+    sender: http1::SendRequest<Outgoing>,
+    machine: Pin<Box<Machine>>,
     stream: Rc<RefCell<TcpStream>>,
     traffic: Rc<Traffic>,
     closed: bool,
@@ -128,10 +133,10 @@
     async fn over(stream: TcpStream) -> io::Result<Connection> {
         send_at_once(&stream);
         let (stream, traffic) = (Rc::new(RefCell::new(stream)), Rc::<Traffic>::default());
-        let metered = TokioIo::new(Metered { stream: stream.clone(), traffic: traffic.clone() });
+        let tapped = TokioIo::new(Tapped::new(stream.clone(), traffic.clone()));
         let (sender, machine) = http1::Builder::new()
             .max_buf_size(2 * MAX_BODY)
-            .handshake(metered)
+            .handshake(tapped)
             .await
             .map_err(io::Error::other)?;
         Ok(Connection {
@@ -184,7 +189,13 @@
 
     /// Makes one call and reads the whole answer. After an error the connection is of no further use.
     pub async fn call(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, CallError> {
-        let (head, body) = self.begin(request).await?.into_parts();
+        let response = self.begin(request.map(Outgoing::Whole)).await?;
+        self.read_whole(response).await
+    }
+
+    /// Reads all of an answer that has begun.
+    pub async fn read_whole(&mut self, response: Response<Incoming>) -> Result<Response<Bytes>, CallError> {
+        let (head, body) = response.into_parts();
         if body.size_hint().lower() > MAX_BODY as u64 {
             return Err(CallError::Broken);
         }
@@ -193,13 +204,13 @@
         Ok(Response::from_parts(head, body))
     }
 
-    /// Makes one call and reads its answer up to a bound. After an error the connection is of no further use.
-    pub async fn call_up_to(
+    /// Reads an answer that has begun, up to a bound. After an error the connection is of no further use.
+    pub async fn read_up_to(
         &mut self,
-        request: Request<Full<Bytes>>,
+        response: Response<Incoming>,
         bound: usize,
     ) -> Result<Received, CallError> {
-        let (head, mut body) = self.begin(request).await?.into_parts();
+        let (head, mut body) = response.into_parts();
         let (mut held, mut length) = (VecDeque::new(), 0);
         while length <= bound {
             let frame = std::future::poll_fn(|cx| self.poll_frame(cx, &mut body)).await;
@@ -230,8 +241,8 @@
         }
     }
 
-    /// Makes one call and reads the head of its answer.
-    async fn begin(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
+    /// Makes one call and reads the head of its answer. After an error the connection is of no further use.
+    pub async fn begin(&mut self, request: Request<Outgoing>) -> Result<Response<Incoming>, CallError> {
         self.traffic.wrote.set(false);
         self.traffic.heard.set(false);
         let sending = self.sender.try_send_request(request);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,11 +6,13 @@
 pub mod counter;
 pub mod discovery;
 pub mod driver;
+mod framing;
 pub mod http;
 pub mod pool;
 pub mod relay;
 mod section;
 pub mod server;
+mod tapped;
 
 use backoff::Backoff;
 use config::{Config, ConfigError, Upstreams};
@@ -64,6 +66,8 @@
     let classes = classes.collect();
     let plans = config.site.plans.iter().map(|(name, &i)| (name.clone(), crate::api::PlanId(i))).collect();
     let name = config.name.clone();
+    let set = &config.site.settings;
+    let retry_after = set.retry_after.then_some(set.max_retry_after);
     let (most_units, gateways) = (config.site.settings.most_units, config.site.settings.gateways);
     // Where the list must be asked for, each call is work for a service that all gateways share.
     let asks = config.site.settings.must_subscribe;
@@ -98,6 +102,7 @@
         last,
         stopping,
         relays,
+        retry_after,
         time_is_up: Notify::new(),
     };
     // Guards against living on without a driver, taking requests that nobody decides.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,14 +1,17 @@
 //! Clients: taking their requests, answering them, and `/_health`.
 
-use super::backend::{strip_hop_by_hop, Forward, BUDGET};
+use super::backend::{strip_hop_by_hop, Forward, Payload, BUDGET};
 use super::driver::{Answer, Clock, Inbox, Input, Taken};
+use super::framing::{Heads, Lengths};
 use super::http::{send_at_once, MAX_BODY};
-use super::relay::{Answered, Guard, Relays, Served, StreamSettings};
+use super::relay::{Answered, Guard, Relays, Served, StreamSettings, Upload};
+use super::tapped::Tapped;
 use crate::api::*;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -16,8 +19,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::{AsyncRead as _, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch, Notify, Semaphore};
 use tokio::time::{interval, sleep, sleep_until, timeout, Instant};
@@ -58,6 +65,12 @@
 const LAST_ANSWER: Duration = Duration::from_millis(3400);
 /// The time that these answers have to go out.
 const LAST_WORD: Duration = Duration::from_millis(200);
+/// How long, and for how many bytes, a client that is answered before its upload ended is still read. Guards
+/// against a reset that takes the answer away, as one follows where a socket is closed with bytes unread.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 256 * 1024;
+/// When a client best comes back that found no memory for its upload.
+const NO_ROOM_WAIT: Duration = Duration::from_secs(1);
 
 /// What all connections of clients share.
 pub struct Front {
@@ -83,8 +96,10 @@
     pub last: Cell<u64>,
     /// Set by SIGTERM.
     pub stopping: watch::Receiver<bool>,
-    /// The streams of long answers.
+    /// The streams of long answers and uploads.
     pub relays: Rc<Relays>,
+    /// The longest wait that a refused client may be told; `None`: it is told none.
+    pub retry_after: Option<Micros>,
     /// Told when a stopping gateway can wait no longer for the answers of its backends.
     pub time_is_up: Notify,
 }
@@ -120,6 +135,14 @@
     /// The bytes of long answers that went through.
     moved: Cell<u64>,
     transfer: Cell<Transfer>,
+    /// It is cut for a transfer that is too slow.
+    lagged: Cell<bool>,
+    /// What its client sends meanwhile.
+    upload: RefCell<Option<Rc<Upload>>>,
+    /// Its client may still send what is not wanted any more.
+    lingers: Cell<bool>,
+    /// How its requests say how long they are, where that is followed.
+    heads: Option<Rc<RefCell<Heads>>>,
 }
 
 /// When a long answer began to go out, and when its present window did, by then so many bytes moved.
@@ -131,12 +154,14 @@
 }
 
 impl Line {
-    fn new() -> Line {
+    fn new(followed: bool) -> Line {
         let (phase, since) = (Cell::new(Phase::Receiving), Cell::new(Instant::now()));
         let (closing, cut, moved) = (Cell::new(false), Cell::new(false), Cell::new(0));
         let transfer = Transfer { began: Instant::now(), window: Instant::now(), moved: 0 };
         let transfer = Cell::new(transfer);
-        Line { phase, since, closing, cut, told: Notify::new(), moved, transfer }
+        let (lagged, upload, lingers) = (Cell::new(false), RefCell::default(), Cell::new(false));
+        let (told, heads) = (Notify::new(), followed.then(Rc::default));
+        Line { phase, since, closing, cut, told, moved, transfer, lagged, upload, lingers, heads }
     }
     /// A first request's time runs from the opening.
     fn turn(&self, phase: Phase) {
@@ -157,8 +182,11 @@
     fn is(&self, phase: Phase, longer_than: Duration) -> bool {
         self.phase.get() == phase && self.since.get().elapsed() > longer_than
     }
-    /// Whether a long answer takes too long, or too little of it went through in a window.
+    /// Whether a long transfer takes too long, or too little of it went through in a window.
     fn lags(&self, set: &StreamSettings) -> bool {
+        if self.upload.borrow().as_ref().is_some_and(|upload| upload.lags(set)) {
+            return true;
+        }
         if self.phase.get() != Phase::Streaming {
             return false;
         }
@@ -191,6 +219,9 @@
     fn moved(&self, bytes: u64) {
         self.line.moved.set(self.line.moved.get() + bytes);
     }
+    fn lags(&self) -> bool {
+        self.line.lagged.get()
+    }
 }
 
 impl Drop for Stream {
@@ -199,6 +230,26 @@
     }
 }
 
+/// An upload while its request is open. What has not come by its end is not wanted any more.
+struct Uploading<'a> {
+    line: &'a Line,
+    upload: Rc<Upload>,
+}
+
+impl<'a> Uploading<'a> {
+    fn new(line: &'a Line, upload: Rc<Upload>) -> Uploading<'a> {
+        line.upload.replace(Some(upload.clone()));
+        Uploading { line, upload }
+    }
+}
+
+impl Drop for Uploading<'_> {
+    fn drop(&mut self) {
+        self.line.upload.take();
+        self.upload.close();
+    }
+}
+
 /// The open connections of clients, a bounded number.
 struct Lines {
     open: RefCell<HashMap<u64, Rc<Line>>>,
@@ -216,11 +267,12 @@
     /// Closes what takes too long. Guards against clients that keep a connection and say nothing, send half a
     /// request, or do not read their answer.
     fn sweep(&self) {
-        let streams = self.relays.settings();
+        let streams = self.relays.bounds();
         for line in self.open.borrow().values() {
             let lags = streams.is_some_and(|set| line.lags(&set));
             let unread = line.closing.get() && line.is(Phase::Idle, RECEIVE_TIME);
             if line.is(Phase::Receiving, RECEIVE_TIME) || unread || lags {
+                line.lagged.set(lags);
                 line.cut();
             } else if line.is(Phase::Idle, LONGEST_IDLE) {
                 line.close();
@@ -282,7 +334,7 @@
             biased;
             // Guards the limit on descriptors: one at a time is accepted and then waits for its place.
             () = lines.place(), if waiting.is_some() => {
-                let line = Rc::new(Line::new());
+                let line = Rc::new(Line::new(front.relays.settings().is_some()));
                 serial += 1;
                 lines.open.borrow_mut().insert(serial, line.clone());
                 let (stream, front, lines) = (waiting.take(), front.clone(), lines.clone());
@@ -339,8 +391,9 @@
         let (front, line) = (front.clone(), line.clone());
         async move { Ok::<_, Infallible>(respond(request, &front, &line).await) }
     });
-    let connection =
-        http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(TokioIo::new(stream), service);
+    let stream = Rc::new(RefCell::new(stream));
+    let followed = TokioIo::new(Tapped::new(stream.clone(), line.heads.clone()));
+    let connection = http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(followed, service);
     let mut connection = std::pin::pin!(connection);
     let done = loop {
         tokio::select! {
@@ -357,6 +410,23 @@
     };
     if let Err(error) = done {
         debug!(%error, "a client's connection ended");
+    } else if line.lingers.get() {
+        // Its writing side is closed by now.
+        let _ = timeout(LINGER, linger(&stream)).await;
+    }
+}
+
+/// Reads a little of what is not wanted, to the client's end.
+async fn linger(stream: &RefCell<TcpStream>) {
+    let (mut bytes, mut left) = ([0; 4096], LINGER_BYTES);
+    while left > 0 {
+        let mut into = ReadBuf::new(&mut bytes);
+        let read = poll_fn(|cx| Pin::new(&mut *stream.borrow_mut()).poll_read(cx, &mut into)).await;
+        match into.filled().len() {
+            _ if read.is_err() => return,
+            0 => return,
+            some => left = left.saturating_sub(some),
+        }
     }
 }
 
@@ -364,14 +434,19 @@
 
 async fn respond(request: Request<Incoming>, front: &Rc<Front>, line: &Rc<Line>) -> Response<Body> {
     line.turn(Phase::Receiving);
+    let lengths = line.heads.as_ref().and_then(|heads| heads.borrow_mut().next());
+    let sends_more = line.heads.is_some() && !request.body().is_end_stream();
     let mut response = match request.uri().path() {
         "/_health" => match front.ready.get() && !front.is_stopping() {
             true => plain(StatusCode::OK, "ready\n"),
             false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         },
-        "/api" => match take(request, front, line).await {
+        "/api" => match take(request, lengths, front, line).await {
             Ok(answer) => answer,
-            Err((status, problem)) => last(plain(status, problem)),
+            Err((status, problem)) => {
+                line.lingers.set(sends_more);
+                last(plain(status, problem))
+            }
         },
         _ => last(plain(StatusCode::NOT_FOUND, "no such path\n")),
     };
@@ -448,24 +523,70 @@
 
 async fn take(
     request: Request<Incoming>,
+    lengths: Option<Lengths>,
     front: &Rc<Front>,
     line: &Rc<Line>,
 ) -> Result<Response<Body>, Malformed> {
     let (head, body) = request.into_parts();
-    let asked = Asked::read(&head.method, head.uri.query(), &head.headers, front)?;
-    // Guards memory: its length is known before any of it is read.
-    let length = body.size_hint().upper().unwrap_or(u64::MAX);
-    if length > MAX_BODY as u64 {
-        return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 64 KiB\n"));
-    }
-    let Ok(_room) = front.bodies.try_acquire_many(length as u32) else {
-        return Err((StatusCode::SERVICE_UNAVAILABLE, "no room for the body\n"));
+    let asked = Asked::read(&head, lengths, front)?;
+    let streams = front.relays.settings().filter(|_| !body.is_end_stream());
+    let Some(set) = streams else {
+        // Guards memory: its length is known before any of it is read.
+        let length = body.size_hint().upper().unwrap_or(u64::MAX);
+        if length > MAX_BODY as u64 {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 64 KiB\n"));
+        }
+        let Ok(_room) = front.bodies.try_acquire_many(length as u32) else {
+            return Err((StatusCode::SERVICE_UNAVAILABLE, "no room for the body\n"));
+        };
+        let body =
+            body.collect().await.map_err(|_| (StatusCode::BAD_REQUEST, "the body broke off\n"))?.to_bytes();
+        let open = OpenCall::new(front, asked.call.clone())?;
+        line.turn(Phase::Busy);
+        return Ok(decided(head, Payload::Whole(body), asked, open, front, line).await);
     };
-    let body =
-        body.collect().await.map_err(|_| (StatusCode::BAD_REQUEST, "the body broke off\n"))?.to_bytes();
-    let open = OpenCall::new(front, asked.call)?;
+    let open = OpenCall::new(front, asked.call.clone())?;
     line.turn(Phase::Busy);
-    // The request's time runs from its last byte.
+    let short = body.size_hint().exact().filter(|&length| length <= set.hold as u64);
+    let (hold, bytes) = short.map_or((set.hold, set.stream()), |length| (length as usize, length as usize));
+    let budget = Duration::from_micros(asked.budget.0);
+    let room = timeout(set.wait.min(budget), front.relays.room(bytes)).await;
+    let Ok(Some(room)) = room else { return Ok(no_room(front, line)) };
+    let source = Box::pin(body.map_err(io::Error::other));
+    let uploading = Uploading::new(line, Upload::new(source, hold, budget, room));
+    let payload = Payload::Upload(uploading.upload.clone());
+    let response = decided(head, payload, asked, open, front, line).await;
+    let whole = uploading.upload.is_whole();
+    line.lingers.set(!whole);
+    // What follows chunks is not followed, so would not be believed.
+    Ok(if whole && lengths != Some(Lengths::Chunked) { response } else { last(response) })
+}
+
+/// Refuses an upload for want of memory before anybody has heard of it.
+fn no_room(front: &Front, line: &Line) -> Response<Body> {
+    line.lingers.set(true);
+    let mut response = last(plain(StatusCode::SERVICE_UNAVAILABLE, "no room for the body\n"));
+    let wait = Micros(NO_ROOM_WAIT.as_micros() as u64);
+    advise(&mut response, front.retry_after.map(|longest| longest.min(wait)));
+    response
+}
+
+fn advise(response: &mut Response<Body>, wait: Option<Micros>) {
+    let wait = wait.and_then(|w| HeaderValue::from_str(&format!("{:.3}", w.secs())).ok());
+    wait.into_iter().for_each(|w| drop(response.headers_mut().insert(header::RETRY_AFTER, w)));
+}
+
+/// Has a request decided, and answers it.
+async fn decided(
+    head: Parts,
+    body: Payload,
+    asked: Asked,
+    open: OpenCall,
+    front: &Rc<Front>,
+    line: &Rc<Line>,
+) -> Response<Body> {
+    // The request's time runs from its last byte; that of an upload which can't be kept whole, as long as it goes
+    // on and then from its last byte.
     let deadline = front.clock.now() + asked.budget;
     let id = RequestId(front.last.replace(front.last.get() + 1) + 1);
     let mut headers = head.headers;
@@ -485,17 +606,16 @@
         () = front.time_is_up.notified(), if told => Answer::Failed,
         else => Answer::Failed,
     };
-    Ok(match answer {
+    match answer {
         Answer::Served(Served::Whole(body)) => Response::new(whole(body)),
         Answer::Served(Served::Long(relay)) => Response::new(Answered::Long(relay, Stream::new(line, open))),
         Answer::Refused(wait) => {
             let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused\n");
-            let wait = wait.and_then(|w| HeaderValue::from_str(&format!("{:.3}", w.secs())).ok());
-            wait.into_iter().for_each(|w| drop(response.headers_mut().insert(header::RETRY_AFTER, w)));
+            advise(&mut response, wait);
             response
         }
         Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
-    })
+    }
 }
 
 /// What a request's head says of it.
@@ -507,17 +627,15 @@
 }
 
 impl Asked {
-    fn read(
-        method: &Method,
-        query: Option<&str>,
-        headers: &HeaderMap,
-        front: &Front,
-    ) -> Result<Asked, Malformed> {
+    fn read(head: &Parts, lengths: Option<Lengths>, front: &Front) -> Result<Asked, Malformed> {
+        let (method, query, headers) = (&head.method, head.uri.query(), &head.headers);
         let bad = |problem| (StatusCode::BAD_REQUEST, problem);
         // Guards against a second request hidden in the body, which is there for who goes by the other of two
-        // lengths. A client's body has a length; hyper drops that of one that is chunked as well.
-        if headers.contains_key(header::TRANSFER_ENCODING) {
-            return Err(bad("Transfer-Encoding: expected Content-Length alone\n"));
+        // lengths. hyper drops the length of a body that is chunked as well.
+        if headers.contains_key(header::TRANSFER_ENCODING) && lengths != Some(Lengths::Chunked) {
+            return Err(bad(
+                "Transfer-Encoding: expected one length, and Content-Length without streaming\n",
+            ));
         }
         // Guards against two readings of one request: which of two values counts, nobody says.
         let twice = |name: &HeaderName| headers.get_all(name).iter().nth(1).is_some();
@@ -616,6 +734,7 @@
             last: Cell::new(0),
             stopping,
             relays: Rc::new(Relays::new(None, 0)),
+            retry_after: None,
             time_is_up: Notify::new(),
         }
     }
@@ -662,7 +781,9 @@
         let front = Rc::new(front(stopping));
         let serving = async move {
             let (stream, mut client) = without_options();
-            tokio::task::spawn_local(async move { connection(stream, &Rc::new(Line::new()), front).await });
+            tokio::task::spawn_local(
+                async move { connection(stream, &Rc::new(Line::new(false)), front).await },
+            );
             let ask = b"GET /_health HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
             client.write_all(ask).await.expect("it is open");
             let mut answer = String::new();
--- /dev/null
+++ b/tests/sockets/bodies.rs
@@ -0,0 +1,174 @@
+//! Long bodies for tests: made and digested piece by piece, so that none stands whole in memory.
+#![allow(dead_code)]
+
+use super::world::*;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+
+pub const MIB: usize = 1 << 20;
+pub const STREAMING: &str =
+    r#"{"hold_kb":64,"wait_ms":200,"least_kb_per_s":64,"window_ms":1000,"longest_s":60}"#;
+
+/// How long the longest bodies are: by default what a small machine bears.
+pub fn large() -> usize {
+    std::env::var("BODY_MIB").map_or(96, |mib| mib.parse().expect("a number of MiB")) * MIB
+}
+
+/// A gateway before the backend at this address, with this `streaming` section and so much memory.
+pub fn gateway(section: &str, memory_mb: u32, backend: SocketAddr) -> (Discovery, Stub, Node) {
+    let discovery = Discovery::start(&member("s-1", backend, "ready"));
+    let counter = counter();
+    let config = config(discovery.stub.address, counter.address)
+        .replacen('{', &format!("{{\"streaming\":{section},"), 1)
+        .replace("\"memory_mb\":192", &format!("\"memory_mb\":{memory_mb}"));
+    let node = Node::spawn(program(&config));
+    node.wait_ready();
+    (discovery, counter, node)
+}
+
+/// The bytes of a long body, so that any that is lost, doubled or moved shows in the digest.
+pub fn part(at: usize, length: usize) -> Vec<u8> {
+    (at..at + length).map(|i| (i.wrapping_mul(2_654_435_761) >> 13) as u8).collect()
+}
+
+/// The FNV-1a hash of what was seen so far, and its length.
+#[derive(Clone, Copy, PartialEq, Debug, Default)]
+pub struct Digest(pub u64, pub usize);
+
+impl Digest {
+    pub fn add(&mut self, bytes: &[u8]) {
+        let step = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(0x0000_0100_0000_01b3);
+        *self = Digest(bytes.iter().fold(self.0, step), self.1 + bytes.len());
+    }
+    pub fn of(length: usize) -> Digest {
+        let mut digest = Digest::default();
+        (0..length).step_by(MIB).for_each(|at| digest.add(&part(at, MIB.min(length - at))));
+        digest
+    }
+}
+
+/// The head of a message that goes on: its lines, in lower case.
+pub fn head(from: &mut impl BufRead) -> Vec<String> {
+    let lines = from.lines().map_while(Result::ok);
+    lines.take_while(|line| !line.is_empty()).map(|line| line.to_ascii_lowercase()).collect()
+}
+
+/// Reads so many bytes, or to the end of the connection.
+pub fn digest(from: &mut impl Read, length: usize) -> Digest {
+    let (mut digest, mut buffer) = (Digest::default(), vec![0; 64 * 1024]);
+    while digest.1 < length {
+        let most = buffer.len().min(length - digest.1);
+        match from.read(&mut buffer[..most]) {
+            Ok(0) => break,
+            Ok(read) => digest.add(&buffer[..read]),
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => break,
+            Err(error) => panic!("{error}"),
+        }
+    }
+    digest
+}
+
+/// Reads a chunked body. `None`: it did not end well.
+pub fn chunked(from: &mut impl BufRead) -> Option<Digest> {
+    let mut digest = Digest::default();
+    loop {
+        let mut line = String::new();
+        from.read_line(&mut line).ok()?;
+        let size = usize::from_str_radix(line.trim_end(), 16).ok()?;
+        let mut chunk = vec![0; size + 2];
+        from.read_exact(&mut chunk).ok()?;
+        if size == 0 {
+            return Some(digest);
+        }
+        digest.add(&chunk[..size]);
+    }
+}
+
+/// The most memory that the process had, in bytes.
+pub fn peak(node: &Node) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", node.child.id())).expect("it runs");
+    let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("a figure");
+    line.split_whitespace().nth(1).and_then(|kb| kb.parse::<usize>().ok()).expect("a number") * 1024
+}
+
+/// What a raw backend saw of one request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    /// Which of its connections it came on, from 0.
+    pub connection: usize,
+    pub head: Vec<String>,
+    /// What came of its body, if all of it did.
+    pub body: Option<Digest>,
+}
+
+/// A backend that reads bodies piece by piece, or as `act` says.
+pub struct Raw {
+    pub address: SocketAddr,
+    pub seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+/// What a raw backend does with a request whose head has come: it may read the body, and answers.
+pub type Act = dyn Fn(&mut BufReader<TcpStream>, &[String], usize) -> Option<Digest> + Send + Sync;
+
+impl Raw {
+    /// `act` is told the head and the number of the request among all; without a body its connection ends.
+    pub fn start(
+        act: impl Fn(&mut BufReader<TcpStream>, &[String], usize) -> Option<Digest> + Send + Sync + 'static,
+    ) -> Raw {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let raw = Raw { address: listener.local_addr().expect("bound"), seen: Arc::default() };
+        let (act, seen) = (Arc::new(act) as Arc<Act>, raw.seen.clone());
+        std::thread::spawn(move || {
+            for (connection, stream) in listener.incoming().flatten().enumerate() {
+                let (act, seen) = (act.clone(), seen.clone());
+                std::thread::spawn(move || {
+                    let mut stream = BufReader::new(stream);
+                    loop {
+                        let head = head(&mut stream);
+                        if head.is_empty() {
+                            return;
+                        }
+                        let number = {
+                            let mut seen = seen.lock().expect("whole");
+                            seen.push(Seen { connection, head: head.clone(), body: None });
+                            seen.len() - 1
+                        };
+                        let body = act(&mut stream, &head, number);
+                        seen.lock().expect("whole")[number].body = body;
+                        if body.is_none() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        raw
+    }
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().expect("whole").clone()
+    }
+}
+
+/// Reads a body by the framing that its head names; `None` if it did not come whole.
+pub fn body(stream: &mut BufReader<TcpStream>, head: &[String]) -> Option<Digest> {
+    if head.iter().any(|line| line == "transfer-encoding: chunked") {
+        return chunked(stream);
+    }
+    let length = head.iter().find_map(|line| line.strip_prefix("content-length: ")).unwrap_or("0");
+    let length = length.parse().expect("a length");
+    Some(digest(stream, length)).filter(|digest| digest.1 == length)
+}
+
+/// Answers; the other side may have gone.
+pub fn answer(stream: &mut BufReader<TcpStream>, text: &str) {
+    let _ = stream.get_mut().write_all(text.as_bytes());
+}
+
+/// A request whose body comes by this framing, a line of its head, its head alone.
+pub fn upload_head(class: &str, budget_ms: u32, framing: &str) -> String {
+    let whole = request(class, budget_ms);
+    let (head, _) = whole.split_once("\r\n\r\n").expect("a head");
+    let kept = head.split("\r\n").filter(|line| !line.starts_with("Content-Length"));
+    format!("{}\r\n{framing}\r\n\r\n", kept.collect::<Vec<_>>().join("\r\n"))
+}
