--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -183,6 +183,46 @@
     assert_eq!(backend.requests().len(), 1);
 }
 
+#[test]
+fn a_drain_and_an_unusable_file_leave_streams_and_their_bounds_alone() {
+    const LENGTH: usize = 3 * MIB;
+    let (go_on, told) = std::sync::mpsc::channel::<()>();
+    let told = std::sync::Mutex::new(told);
+    let backend = Raw::start(move |stream, _, _| {
+        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {LENGTH}\r\n\r\n");
+        answer(stream, &text);
+        let _ = stream.get_mut().write_all(&part(0, MIB));
+        told.lock().expect("whole").recv_timeout(LIMIT).expect("the test goes on");
+        let _ = stream.get_mut().write_all(&part(MIB, LENGTH - MIB));
+        None
+    });
+    let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
+    let (counter, patient) = (counter(), STREAMING.replace("\"window_ms\":1000", "\"window_ms\":20000"));
+    let plain = config(discovery.stub.address, counter.address);
+    let with = |section: &str| plain.replacen('{', &format!("{{\"streaming\":{section},"), 1);
+    let path = file(&with(&patient));
+    let node = Node::spawn(told_by(&path));
+    node.wait_ready();
+    let ask = |number: usize| {
+        let mut client = node.client();
+        client.send(&request("look", 4000).replace("9b1f", &format!("{number:04x}")));
+        let told = head(client.bytes());
+        assert!(told.contains(&format!("content-length: {LENGTH}")), "{told:?}");
+        client
+    };
+    let mut first = ask(0);
+    std::fs::write(&path, with(r#"{"hold_kb":0}"#)).expect("written");
+    node.signal("HUP");
+    let line = node.wait_for_line("the old one stays");
+    assert!(line.contains("streaming.hold_kb: expected a whole number"), "{line}");
+    let mut second = ask(1);
+    discovery.tell(42, false, &member("s-1", backend.address, "draining"));
+    for client in [&mut first, &mut second] {
+        go_on.send(()).expect("it waits");
+        assert_eq!(digest(client.bytes(), LENGTH), Digest::of(LENGTH));
+    }
+}
+
 #[test]
 fn at_sigterm_a_stream_has_its_grace_and_then_ends_short() {
     // More than can go through by then.
