A workspace of crates: policy, settings, gateway, simhost and lanespan

Need: one package held the decisions beside sockets and clocks, so that nothing but care kept them pure; its binaries had the name they were inherited under.

`crates/policy` depends on fastrand alone, `crates/settings` reads settings by name for both sides, `crates/gateway` is what `src/net` was, `crates/simhost` the adapter (`lanespan-wirehost`), `crates/lanespan` the program. The stand-ins of the socket tests are apart from the program under test, so that `crates/gateway` uses them too.

--- a/benches/baseline/mod.rs
+++ b/crates/gateway/benches/baseline/mod.rs
@@ -1,8 +1,8 @@
-//! The pool as it was before `src/net/pool.rs`: a map of idle connections under one cap, dialled on the request's
+//! The pool as it was before `crates/gateway/src/pool.rs`: a map of idle connections under one cap, dialled on the request's
 //! path. Kept to compare with.
 #![allow(dead_code)]
 
-use starlinghill::net::pool::{Link, SETTLE};
+use lanespan_gateway::pool::{Link, SETTLE};
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/benches/pool.rs
+++ b/crates/gateway/benches/pool.rs
@@ -3,8 +3,8 @@
 mod baseline;
 
 use baseline::Baseline;
+use lanespan_gateway::pool::{Around, Book, Checkout, Link, PoolSettings, SETTLE};
 use socket2::SockRef;
-use starlinghill::net::pool::{Around, Book, Checkout, Link, PoolSettings, SETTLE};
 use std::hint::black_box;
 use std::mem::MaybeUninit;
 use std::os::unix::net::UnixStream;
--- a/src/net/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -3,11 +3,11 @@
 use super::http::{CallError, Outgoing, Received, Traffic};
 use super::pool::{Backend, NoLink, Pool};
 use super::relay::{Relay, Relays, Sending, Served, Upload};
-use crate::api::{Micros, Outcome, Report};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
+use lanespan_policy::api::{Micros, Outcome, Report};
 use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::sync::oneshot;
--- a/src/net/config.rs
+++ b/crates/gateway/src/config.rs
@@ -2,7 +2,7 @@
 
 use super::pool::{Around, PoolSettings};
 use super::relay::StreamSettings;
-use crate::settings::{flatten, Fields, Site};
+use lanespan_settings::{flatten, Fields, Site};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::env;
@@ -26,8 +26,8 @@
 }
 impl std::error::Error for ConfigError {}
 
-impl From<crate::api::SettingsError> for ConfigError {
-    fn from(e: crate::api::SettingsError) -> ConfigError {
+impl From<lanespan_policy::api::SettingsError> for ConfigError {
+    fn from(e: lanespan_policy::api::SettingsError) -> ConfigError {
         ConfigError(format!("settings: {e}"))
     }
 }
@@ -232,7 +232,7 @@
         flatten("", &document.settings, &mut names);
         let pairs = names.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
         let fields = Fields { place: "settings".into(), message: "settings", pairs };
-        let plain = |e: crate::settings::FieldError| ConfigError(e.0);
+        let plain = |e: lanespan_settings::FieldError| ConfigError(e.0);
         let site = Site::read(&fields).map_err(plain)?;
         site.settings.check()?;
         let span = |name, default| {
--- a/src/net/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -1,10 +1,10 @@
 //! The shared counter: calls over a few connections, each made once, their answers told in order.
 
 use super::http::{CallError, Connection};
-use crate::api::{CountName, Micros, Outcome};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{header, Method, Request, StatusCode};
+use lanespan_policy::api::{CountName, Micros, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
--- a/src/net/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -6,9 +6,9 @@
 use super::counter::{Counted, Counter, Order};
 use super::pool::{Backend, Pool};
 use super::relay::{Relays, Served};
-use crate::api::*;
-use crate::rules::Gateway;
-use crate::settings::Site;
+use lanespan_policy::api::*;
+use lanespan_policy::rules::Gateway;
+use lanespan_settings::Site;
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
@@ -515,8 +515,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::net::backend::Payload;
-    use crate::net::relay::{Answered, Guard};
+    use crate::backend::Payload;
+    use crate::relay::{Answered, Guard};
     use http_body_util::BodyExt;
     use hyper::{HeaderMap, Method};
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/src/net/mod.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,10 +61,11 @@
     let (listen, sockets) = (config.listen, config.sockets);
     let classes = config.site.classes.iter().map(|(name, &i)| {
         let class = &config.site.settings.classes[i];
-        (name.clone(), (crate::api::ClassId(i), class.effect, class.deadline))
+        (name.clone(), (lanespan_policy::api::ClassId(i), class.effect, class.deadline))
     });
     let classes = classes.collect();
-    let plans = config.site.plans.iter().map(|(name, &i)| (name.clone(), crate::api::PlanId(i))).collect();
+    let plans =
+        config.site.plans.iter().map(|(name, &i)| (name.clone(), lanespan_policy::api::PlanId(i))).collect();
     let name = config.name.clone();
     let set = &config.site.settings;
     let retry_after = set.retry_after.then_some(set.max_retry_after);
--- a/src/net/pool/settings.rs
+++ b/crates/gateway/src/pool/settings.rs
@@ -1,7 +1,7 @@
 //! The `pool` section of the configuration: the bounds on connections to backends.
 
-use crate::net::config::ConfigError;
-use crate::net::section::Section;
+use crate::config::ConfigError;
+use crate::section::Section;
 use serde_json::Value;
 use std::time::Duration;
 
--- a/src/net/relay/upload.rs
+++ b/crates/gateway/src/relay/upload.rs
@@ -325,7 +325,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::net::relay::Relays;
+    use crate::relay::Relays;
     use std::collections::VecDeque;
     use tokio::time::timeout;
 
--- a/src/net/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,7 +6,6 @@
 use super::http::{send_at_once, MAX_BODY};
 use super::relay::{Answered, Guard, Relays, Served, StreamSettings, Upload};
 use super::tapped::Tapped;
-use crate::api::*;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
@@ -16,6 +15,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use lanespan_policy::api::*;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
@@ -718,7 +718,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::net::http::without_options;
+    use crate::http::without_options;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::sync::mpsc;
     use tokio::task::LocalSet;
--- a/tests/backend.rs
+++ b/crates/gateway/tests/backend.rs
@@ -1,11 +1,11 @@
 //! Attempts at a backend and the pool of connections, on loopback sockets.
-#[path = "sockets/world.rs"]
+#[path = "../../lanespan/tests/sockets/stubs.rs"]
 mod world;
 
-use starlinghill::api::Outcome;
-use starlinghill::net::backend::{Ended, Forward, Order, Payload};
-use starlinghill::net::pool::{Around, Backend, Pool, PoolSettings};
-use starlinghill::net::relay::{Relays, Served};
+use lanespan_gateway::backend::{Ended, Forward, Order, Payload};
+use lanespan_gateway::pool::{Around, Backend, Pool, PoolSettings};
+use lanespan_gateway::relay::{Relays, Served};
+use lanespan_policy::api::Outcome;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -54,7 +54,7 @@
 async fn attempt(pool: &Rc<Pool>, backend: &Backend, limit: Duration) -> Ended {
     let (_call_off, called_off) = oneshot::channel();
     let order = Order { number: 0, until: Instant::now() + limit, called_off };
-    starlinghill::net::backend::attempt(pool, &whole(), backend, &post(), order).await
+    lanespan_gateway::backend::attempt(pool, &whole(), backend, &post(), order).await
 }
 
 #[test]
@@ -100,7 +100,7 @@
         let forward = post();
         let until = Instant::now() + LONG;
         let relays = whole();
-        let out = starlinghill::net::backend::attempt(
+        let out = lanespan_gateway::backend::attempt(
             &pool,
             &relays,
             &backend,
@@ -365,7 +365,7 @@
                         let _ = call_off.send(());
                     };
                     let relays = whole();
-                    let out = starlinghill::net::backend::attempt(
+                    let out = lanespan_gateway::backend::attempt(
                         &pool,
                         &relays,
                         &backend,
--- a/tests/counter.rs
+++ b/crates/gateway/tests/counter.rs
@@ -1,9 +1,9 @@
 //! The calls to the shared counter, on loopback sockets.
-#[path = "sockets/world.rs"]
+#[path = "../../lanespan/tests/sockets/stubs.rs"]
 mod world;
 
-use starlinghill::api::{CountName, Micros, Outcome};
-use starlinghill::net::counter::{Counted, Counter, Order};
+use lanespan_gateway::counter::{Counted, Counter, Order};
+use lanespan_policy::api::{CountName, Micros, Outcome};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use world::{http, on_runtime, Reply, Stub};
--- a/tests/discovery.rs
+++ b/crates/gateway/tests/discovery.rs
@@ -1,8 +1,8 @@
 //! What a gateway asks discovery for.
-use starlinghill::net::backoff::Backoff;
-use starlinghill::net::config::Upstreams;
-use starlinghill::net::pool::{Around, PoolSettings};
-use starlinghill::net::{discovery, driver::Input};
+use lanespan_gateway::backoff::Backoff;
+use lanespan_gateway::config::Upstreams;
+use lanespan_gateway::pool::{Around, PoolSettings};
+use lanespan_gateway::{discovery, driver::Input};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
--- a/tests/fleet_pools.rs
+++ b/crates/gateway/tests/fleet_pools.rs
@@ -4,8 +4,8 @@
 mod baseline;
 
 use baseline::Baseline;
-use starlinghill::net::http::Connection;
-use starlinghill::net::pool::{Around, Backend, Pool, PoolSettings};
+use lanespan_gateway::http::Connection;
+use lanespan_gateway::pool::{Around, Backend, Pool, PoolSettings};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -1,6 +1,6 @@
 //! The books of the pool: which connection goes to whom, who waits, who dials. All on a given clock with fixed
 //! seeds; no socket and no wait.
-use starlinghill::net::pool::{
+use lanespan_gateway::pool::{
     Around, Book, Checkout, DialError, Link, NoLink, PoolSettings, Serial, Waiter, SETTLE,
 };
 use std::cell::Cell;
--- a/src/main.rs
+++ b/crates/lanespan/src/main.rs
@@ -1,8 +1,7 @@
 //! One real gateway. It is told where and how by the environment, reads its configuration again at SIGHUP, and
 //! ends at SIGTERM.
-#![forbid(unsafe_code)]
 
-use starlinghill::net::{self, config::Config, config::Upstreams};
+use lanespan_gateway::{self, config::Config, config::Upstreams};
 use std::error::Error;
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, SignalKind};
@@ -39,7 +38,7 @@
                 }
             }
         });
-        Ok(net::run(config, upstreams, stopping).await?)
+        Ok(lanespan_gateway::run(config, upstreams, stopping).await?)
     })
 }
 
@@ -48,7 +47,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("starlinghill: {e}");
+            eprintln!("lanespan: {e}");
             ExitCode::FAILURE
         }
     }
--- a/tests/sockets/main.rs
+++ b/crates/lanespan/tests/sockets/main.rs
@@ -400,7 +400,7 @@
     let counter = counter();
     let inner = program(&config(discovery.stub.address, counter.address));
     let mut command = std::process::Command::new("/bin/sh");
-    command.args(["-c", &format!("ulimit -n 24; exec {}", env!("CARGO_BIN_EXE_starlinghill"))]);
+    command.args(["-c", &format!("ulimit -n 24; exec {}", env!("CARGO_BIN_EXE_lanespan"))]);
     command.envs(inner.get_envs().filter_map(|(k, v)| Some((k, v?)))).stderr(std::process::Stdio::piped());
     let node = Node::spawn(command);
     node.wait_ready();
--- a/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -1,4 +1,4 @@
-//! Every decision of a gateway. What it is told and what it may do stands in `src/api.rs`.
+//! Every decision of a gateway. What it is told and what it may do stands in `api`.
 //!
 //! Order: constants, admission, the life of a request, choice of a server, health, guards of the rules.
 
--- a/tests/breaker.rs
+++ b/crates/policy/tests/breaker.rs
@@ -1,7 +1,7 @@
 //! The breaker over the counter: each transition, and the breaks foreseen for it.
 mod common;
 use common::*;
-use starlinghill::api::*;
+use lanespan_policy::api::*;
 
 /// Makes one window call for a customer and lets it fail; says whether a call was made.
 fn failing(rig: &mut Rig, customer: u64) -> bool {
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A gateway under test, driven through the interface, and a counter that answers on demand.
 #![allow(dead_code)]
 
-use starlinghill::api::*;
-use starlinghill::rules::Gateway;
+use lanespan_policy::api::*;
+use lanespan_policy::rules::Gateway;
 
 pub const MS: u64 = 1_000;
 pub const S: u64 = 1_000_000;
--- a/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The five rules, each by the guard that keeps it.
 mod common;
 use common::*;
-use starlinghill::api::*;
+use lanespan_policy::api::*;
 
 fn finals(done: &[Action], id: RequestId) -> usize {
     done.iter().filter(|a| matches!(a, Action::Refuse(r, _) | Action::Fail(r) if *r == id)).count()
--- a/tests/scale.rs
+++ b/crates/policy/tests/scale.rs
@@ -1,7 +1,7 @@
 //! What holds where hundreds of gateways see a request or two a second each.
 mod common;
 use common::*;
-use starlinghill::api::*;
+use lanespan_policy::api::*;
 use std::collections::BTreeMap;
 
 fn one_of(gateways: u32, me: u32, servers: u32) -> Rig {
--- a/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -1,7 +1,7 @@
 //! Choice of a server, health, further attempts and what waits.
 mod common;
 use common::*;
-use starlinghill::api::*;
+use lanespan_policy::api::*;
 
 #[test]
 fn work_spreads_by_what_is_out() {
@@ -132,7 +132,7 @@
     let bad = |change: fn(&mut Settings)| {
         let mut set = settings();
         change(&mut set);
-        starlinghill::rules::Gateway::new(1, set).is_err()
+        lanespan_policy::rules::Gateway::new(1, set).is_err()
     };
     assert!(bad(|s| s.gateways = 0));
     assert!(bad(|s| s.me = 2));
--- a/tests/transfers.rs
+++ b/crates/policy/tests/transfers.rs
@@ -1,7 +1,7 @@
 //! What the module makes of long transfers: answers that have begun, and uploads that can't be sent again.
 mod common;
 use common::*;
-use starlinghill::api::*;
+use lanespan_policy::api::*;
 
 /// Past every deadline.
 const LONG: u64 = 60 * S;
--- a/tests/window.rs
+++ b/crates/policy/tests/window.rs
@@ -1,7 +1,7 @@
 //! The window count: its edges, refusals, late answers, lost adds, and the local bucket.
 mod common;
 use common::*;
-use starlinghill::api::*;
+use lanespan_policy::api::*;
 
 /// One request whose call is answered with this total.
 fn with_total(rig: &mut Rig, units: f64, total: f64) -> (RequestId, Vec<Action>) {
--- a/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,7 @@
 //! Settings by their dotted names, and the names of what they list. The simulator's adapter and the real
 //! gateway both read them here: one finds them on a line, the other flattens its JSON to the same form.
 
-use crate::api::*;
+use lanespan_policy::api::*;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Display;
 use std::str::FromStr;
@@ -17,18 +17,22 @@
 }
 impl std::error::Error for FieldError {}
 
-pub(crate) type Result<T> = std::result::Result<T, FieldError>;
+/// What reading a named value leads to.
+pub type Result<T> = std::result::Result<T, FieldError>;
 
 /// Named values, and where they stood.
-pub(crate) struct Fields<'a> {
+pub struct Fields<'a> {
     /// A line such as 'line 3: START', or another place to name in errors.
-    pub(crate) place: String,
-    pub(crate) message: &'a str,
-    pub(crate) pairs: HashMap<&'a str, &'a str>,
+    pub place: String,
+    /// What kind of message it is.
+    pub message: &'a str,
+    /// The values as they stood, by their names.
+    pub pairs: HashMap<&'a str, &'a str>,
 }
 
 impl<'a> Fields<'a> {
-    pub(crate) fn parse(at: u64, line: &'a str) -> Result<Fields<'a>> {
+    /// Reads a line of the wire: what it is, then `name=value` for each.
+    pub fn parse(at: u64, line: &'a str) -> Result<Fields<'a>> {
         let mut parts = line.split(' ');
         let message = parts.next().unwrap_or("");
         let place = format!("line {at}: {message}");
@@ -41,35 +45,43 @@
         }
         Ok(Fields { place, message, pairs })
     }
-    pub(crate) fn fail<T>(&self, name: &str, wanted: &str) -> Result<T> {
+    /// Names a value that is not what was wanted.
+    pub fn fail<T>(&self, name: &str, wanted: &str) -> Result<T> {
         let found = self.pairs.get(name).map_or("nothing".to_string(), |v| format!("'{v}'"));
         Err(FieldError(format!("{}: {name}: expected {wanted}, found {found}", self.place)))
     }
-    pub(crate) fn read<T: FromStr>(&self, name: &str, wanted: &str) -> Result<Option<T>> {
+    /// A value that may be absent.
+    pub fn read<T: FromStr>(&self, name: &str, wanted: &str) -> Result<Option<T>> {
         match self.pairs.get(name) {
             None => Ok(None),
             Some(text) => text.parse().map(Some).or_else(|_| self.fail(name, wanted)),
         }
     }
-    pub(crate) fn whole(&self, name: &str) -> Result<u64> {
+    /// A whole number that must be there.
+    pub fn whole(&self, name: &str) -> Result<u64> {
         self.read(name, "a whole number")?.map_or_else(|| self.fail(name, "a whole number"), Ok)
     }
-    pub(crate) fn whole_or(&self, name: &str, default: u64) -> Result<u64> {
+    /// A whole number, or a default.
+    pub fn whole_or(&self, name: &str, default: u64) -> Result<u64> {
         Ok(self.read(name, "a whole number")?.unwrap_or(default))
     }
-    pub(crate) fn small(&self, name: &str) -> Result<u32> {
+    /// A whole number of 32 bits that must be there.
+    pub fn small(&self, name: &str) -> Result<u32> {
         self.read(name, "a small whole number")?.map_or_else(|| self.fail(name, "a small whole number"), Ok)
     }
-    pub(crate) fn real_or(&self, name: &str, default: f64) -> Result<f64> {
+    /// A number, or a default.
+    pub fn real_or(&self, name: &str, default: f64) -> Result<f64> {
         match self.read::<f64>(name, "a number")? {
             Some(v) if !v.is_finite() => self.fail(name, "a finite number"),
             v => Ok(v.unwrap_or(default)),
         }
     }
-    pub(crate) fn micros_or(&self, name: &str, default: u64) -> Result<Micros> {
+    /// A span in microseconds, or a default.
+    pub fn micros_or(&self, name: &str, default: u64) -> Result<Micros> {
         self.whole_or(name, default).map(Micros)
     }
-    pub(crate) fn flag_or(&self, name: &str, default: bool) -> Result<bool> {
+    /// True or false, or a default.
+    pub fn flag_or(&self, name: &str, default: bool) -> Result<bool> {
         match self.pairs.get(name) {
             None => Ok(default),
             Some(&"1") | Some(&"true") => Ok(true),
@@ -77,23 +89,28 @@
             Some(_) => self.fail(name, "1 or 0"),
         }
     }
-    pub(crate) fn text(&self, name: &str) -> Result<&'a str> {
+    /// A text that must be there.
+    pub fn text(&self, name: &str) -> Result<&'a str> {
         self.pairs.get(name).copied().map_or_else(|| self.fail(name, "a text"), Ok)
     }
 }
 
 /// The settings with the names by which the outside knows classes, plans, zones and servers.
-pub(crate) struct Site {
-    pub(crate) settings: Settings,
-    pub(crate) classes: HashMap<String, usize>,
-    pub(crate) plans: HashMap<String, usize>,
+pub struct Site {
+    /// What the module is told.
+    pub settings: Settings,
+    /// The classes' places, by their names.
+    pub classes: HashMap<String, usize>,
+    /// The plans' places, by their names.
+    pub plans: HashMap<String, usize>,
     zones: HashMap<String, u32>,
     /// The servers seen, by the numbers that stand for their names.
-    pub(crate) servers: HashMap<ServerId, String>,
+    pub servers: HashMap<ServerId, String>,
 }
 
 impl Site {
-    pub(crate) fn read(f: &Fields) -> Result<Site> {
+    /// Reads a site's settings.
+    pub fn read(f: &Fields) -> Result<Site> {
         let list = |prefix: &str| -> Result<usize> {
             let count = f.whole_or(&format!("{prefix}.count"), 0)?;
             if count > 10_000 {
@@ -176,7 +193,7 @@
         Ok(Site { settings, classes, plans, zones, servers: HashMap::new() })
     }
     /// The number of a server's name.
-    pub(crate) fn server(&mut self, name: &str) -> ServerId {
+    pub fn server(&mut self, name: &str) -> ServerId {
         // The FNV-1a hash: the same number at every gateway; the next free one on a clash.
         let hash = name
             .bytes()
@@ -188,7 +205,8 @@
         self.servers.entry(id).or_insert_with(|| name.to_string());
         id
     }
-    pub(crate) fn zone(&mut self, name: &str) -> ZoneId {
+    /// The number of a zone; a new name gets the next one.
+    pub fn zone(&mut self, name: &str) -> ZoneId {
         zone_id(&mut self.zones, name)
     }
 }
@@ -200,7 +218,7 @@
 
 /// Lays nested JSON out as dotted names: lists of plain values joined by commas, lists of objects as their
 /// `.count` and their numbered items.
-pub(crate) fn flatten(prefix: &str, value: &serde_json::Value, into: &mut BTreeMap<String, String>) {
+pub fn flatten(prefix: &str, value: &serde_json::Value, into: &mut BTreeMap<String, String>) {
     use serde_json::Value;
     let below = |name: &str| if prefix.is_empty() { name.to_string() } else { format!("{prefix}.{name}") };
     match value {
--- a/src/wire.rs
+++ b/crates/simhost/src/lib.rs
@@ -1,13 +1,18 @@
 //! The text protocol of the simulator, to and from the types of `api.rs`. Nothing here decides.
 
-use crate::api::*;
-use crate::rules::Gateway;
-use crate::settings::{FieldError, Fields, Result, Site};
+use lanespan_policy::api::*;
+use lanespan_policy::rules::Gateway;
+use lanespan_settings::{FieldError, Fields, Result, Site};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
 /// What only the wire's events carry.
-impl Fields<'_> {
+trait WireFields {
+    fn outcome(&self) -> Result<Outcome>;
+    fn report(&self) -> Result<Report>;
+}
+
+impl WireFields for Fields<'_> {
     fn outcome(&self) -> Result<Outcome> {
         Ok(match self.text("how")? {
             "200" => Outcome::Ok,
--- a/src/bin/starlinghill-simhost.rs
+++ b/crates/simhost/src/main.rs
@@ -1,7 +1,6 @@
 //! The decisions on the simulator's wire: batches on standard input, replies on standard output.
-#![forbid(unsafe_code)]
 
-use starlinghill::wire::Host;
+use lanespan_simhost::Host;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
@@ -26,7 +25,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("starlinghill-simhost: {e}");
+            eprintln!("lanespan-wirehost: {e}");
             ExitCode::FAILURE
         }
     }
--- a/tests/wire.rs
+++ b/crates/simhost/tests/wire.rs
@@ -1,5 +1,5 @@
 //! The adapter on good and bad text.
-use starlinghill::wire::Host;
+use lanespan_simhost::Host;
 use std::io::Write;
 use std::process::{Command, Stdio};
 
@@ -82,7 +82,7 @@
 
 #[test]
 fn the_program_exits_with_one_plain_line() {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_starlinghill-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_lanespan-wirehost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
