--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod aimd;
 pub mod api;
+mod breaker;
 pub mod rules;
 mod slow_start;
 mod state;
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,7 +1,7 @@
 //! What a gateway keeps in mind. Nothing here decides.
 
 use crate::api::*;
-use crate::rules::Breaker;
+use crate::breaker::Breaker;
 
 /// A store of units that fills at a rate. It may go below nothing where the caller lets it.
 #[derive(Debug, Clone, Default)]
