Gateway: accept loop, connections, parsing and answering in files of their own

Need: `server.rs` had 800 lines of four duties, and `config`, `pool` and `relay` imported each other for ConfigError.

Change: `server.rs` keeps the accept loop and one connection's life; `server/line.rs` what each connection is at and who may close it, `server/asked.rs` the parsing of heads, `server/answering.rs` the way from a request to its answer; `config_error.rs`. Moved as they stood, with `pub(super)` where siblings meet.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,5 +1,6 @@
 //! What the platform tells a gateway: the environment and the configuration file.
 
+use super::config_error::ConfigError;
 use super::pool::{Around, PoolSettings};
 use super::relay::StreamSettings;
 use lanespan_settings::{flatten, Fields, Site};
@@ -9,29 +10,6 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-/// A configuration that a gateway can't start with; one plain line.
-#[derive(Debug)]
-pub struct ConfigError(String);
-
-impl ConfigError {
-    pub(crate) fn new(line: String) -> ConfigError {
-        ConfigError(line)
-    }
-}
-
-impl fmt::Display for ConfigError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-impl std::error::Error for ConfigError {}
-
-impl From<lanespan_policy::api::SettingsError> for ConfigError {
-    fn from(e: lanespan_policy::api::SettingsError) -> ConfigError {
-        ConfigError(format!("settings: {e}"))
-    }
-}
-
 /// Discovery's form of the list of backends, whole or as changes.
 #[derive(Debug, Clone, Default, Deserialize)]
 pub struct MemberList {
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -2,7 +2,8 @@
 //! its request table sees to it that every request gets exactly one final answer.
 
 use super::backend::{self, attempt, Ended, Forward};
-use super::config::{Config, ConfigError, MemberList, Phase, Upstreams};
+use super::config::{Config, MemberList, Phase, Upstreams};
+use super::config_error::ConfigError;
 use super::counter::{Counted, Counter, Order};
 use super::pool::{Backend, Pool};
 use super::relay::{Relays, Served};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod backoff;
 pub mod config;
+pub mod config_error;
 pub mod counter;
 pub mod discovery;
 pub mod driver;
@@ -15,7 +16,8 @@
 mod tapped;
 
 use backoff::Backoff;
-use config::{Config, ConfigError, Upstreams};
+use config::{Config, Upstreams};
+use config_error::ConfigError;
 use driver::{Clock, Driver};
 use server::Front;
 use std::cell::Cell;
--- a/crates/gateway/src/pool/settings.rs
+++ b/crates/gateway/src/pool/settings.rs
@@ -1,6 +1,6 @@
 //! The `pool` section of the configuration: the bounds on connections to backends.
 
-use crate::config::ConfigError;
+use crate::config_error::ConfigError;
 use crate::section::Section;
 use serde_json::Value;
 use std::time::Duration;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,7 +6,7 @@
 
 pub use upload::{Sending, Source, Upload};
 
-use super::config::ConfigError;
+use super::config_error::ConfigError;
 use super::http::MAX_BODY;
 use super::pool::Lease;
 use super::section::Section;
--- a/crates/gateway/src/section.rs
+++ b/crates/gateway/src/section.rs
@@ -1,6 +1,6 @@
 //! A section of the configuration, read key by key. What is wrong is told in one plain line that names the key.
 
-use super::config::ConfigError;
+use super::config_error::ConfigError;
 use serde_json::{Map, Value};
 use std::fmt;
 use std::time::Duration;
--- /dev/null
+++ b/crates/gateway/src/server/asked.rs
@@ -0,0 +1,119 @@
+//! What a request's head says of it.
+
+use super::answering::Malformed;
+use super::Front;
+use crate::backend::BUDGET;
+use crate::framing::Lengths;
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Method, StatusCode};
+use lanespan_policy::api::*;
+
+/// Customers have numbers below this.
+pub(super) const CUSTOMERS: u64 = 1 << 33;
+/// Headers that a request has once.
+pub(super) const ONCE: [&str; 9] = [
+    "content-length",
+    "host",
+    "idempotency-key",
+    "x-again",
+    "x-budget-ms",
+    "x-call-class",
+    "x-call-id",
+    "x-plan",
+    "x-quota",
+];
+
+/// What a request's head says of it.
+pub(super) struct Asked {
+    pub(super) arrival: Arrival,
+    /// What the client calls it.
+    pub(super) call: HeaderValue,
+    pub(super) budget: Micros,
+}
+
+impl Asked {
+    pub(super) fn read(head: &Parts, lengths: Option<Lengths>, front: &Front) -> Result<Asked, Malformed> {
+        let (method, query, headers) = (&head.method, head.uri.query(), &head.headers);
+        let bad = |problem| (StatusCode::BAD_REQUEST, problem);
+        // Guards against a second request hidden in the body, which is there for who goes by the other of two
+        // lengths. hyper drops the length of a body that is chunked as well.
+        if headers.contains_key(header::TRANSFER_ENCODING) && lengths != Some(Lengths::Chunked) {
+            return Err(bad(
+                "Transfer-Encoding: expected one length, and Content-Length without streaming\n",
+            ));
+        }
+        // Guards against two readings of one request: which of two values counts, nobody says.
+        let twice = |name: &HeaderName| headers.get_all(name).iter().nth(1).is_some();
+        if headers.keys_len() < headers.len()
+            && headers.keys().any(|name| ONCE.contains(&name.as_str()) && twice(name))
+        {
+            return Err(bad("a header stands twice\n"));
+        }
+        let text = |name: HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
+        let named = |name| text(HeaderName::from_static(name));
+        let (class, effect, longest) = named("x-call-class")
+            .and_then(|class| front.classes.get(class))
+            .ok_or_else(|| bad("X-Call-Class: expected a known class\n"))?;
+        let plan = named("x-plan").and_then(|plan| front.plans.get(plan));
+        let plan = plan.ok_or_else(|| bad("X-Plan: expected a known plan\n"))?;
+        let customer = query.and_then(customer).ok_or_else(|| bad("customer: expected 16 hex digits\n"))?;
+        let budget = text(BUDGET).and_then(|v| v.parse::<u64>().ok());
+        let budget = budget.ok_or_else(|| bad("X-Budget-Ms: expected whole milliseconds\n"))?;
+        let (units, spread) = named("x-quota")
+            .and_then(|value| quota(value, front.most_units, front.gateways))
+            .ok_or_else(|| bad("X-Quota: expected units, spread and first in their ranges\n"))?;
+        let call = headers.get("x-call-id").filter(|id| !id.is_empty()).cloned();
+        let call = call.ok_or_else(|| bad("X-Call-Id: expected an id\n"))?;
+        let (wanted, keyed) = match effect {
+            Effect::Safe => (Method::GET, false),
+            Effect::Keyed => (Method::POST, true),
+            Effect::Unsafe => (Method::POST, false),
+        };
+        if *method != wanted {
+            return Err((StatusCode::METHOD_NOT_ALLOWED, "not this class's method\n"));
+        }
+        if keyed && headers.get("idempotency-key").is_none_or(|key| key.is_empty()) {
+            return Err(bad("Idempotency-Key: expected a key\n"));
+        }
+        let arrival = Arrival {
+            class: *class,
+            plan: *plan,
+            customer,
+            spread,
+            units,
+            resent: named("x-again") == Some("1"),
+            ..Arrival::default()
+        };
+        // No client waits longer than its class says.
+        let budget = Micros(budget.saturating_mul(1000)).min(*longest);
+        Ok(Asked { arrival, call, budget })
+    }
+}
+
+pub(super) fn customer(query: &str) -> Option<CustomerId> {
+    let mut named = query.split('&').filter_map(|pair| pair.strip_prefix("customer="));
+    let digits = named.next()?;
+    let hex = digits.len() == 16 && digits.bytes().all(|b| b.is_ascii_hexdigit()) && named.next().is_none();
+    u64::from_str_radix(digits, 16).ok().filter(|id| hex && *id < CUSTOMERS).map(CustomerId)
+}
+
+/// Units and spread. Guards against what no class asks for and no tier has, which would be charged to a
+/// customer by whoever writes its name.
+pub(super) fn quota(value: &str, most_units: f64, gateways: u32) -> Option<(f64, u32)> {
+    let (mut units, mut spread, mut first) = (None, None, None);
+    for part in value.split(',') {
+        let unset = match part.trim().split_once('=')? {
+            ("units", v) => {
+                units.replace(v.parse::<f64>().ok().filter(|u| *u > 0.0 && *u <= most_units)?).is_none()
+            }
+            ("spread", v) => {
+                spread.replace(v.parse::<u32>().ok().filter(|s| (1..=gateways).contains(s))?).is_none()
+            }
+            ("first", v) => first.replace(v.parse::<u32>().ok().filter(|f| *f < gateways)?).is_none(),
+            _ => true,
+        };
+        unset.then_some(())?;
+    }
+    first.and(units).zip(spread)
+}
