--- a/crates/gateway/benches/pool.rs
+++ b/crates/gateway/benches/pool.rs
@@ -3,6 +3,7 @@
 mod baseline;
 
 use baseline::Baseline;
+use lanespan_gateway::config::document::PoolSection;
 use lanespan_gateway::pool::{Around, Book, Checkout, Link, PoolSettings, SETTLE};
 use socket2::SockRef;
 use std::hint::black_box;
@@ -78,7 +79,7 @@
             dial_timeout,
             conn_idle: CONN_IDLE,
         };
-        let settings = PoolSettings::read(&serde_json::Value::Null, &around).expect("defaults");
+        let settings = PoolSettings::of(&PoolSection::default(), &around).expect("defaults");
         let mut book = Book::new(settings, 1);
         let serials: Vec<u64> = (0..backends).map(|_| book.add(None)).collect();
         for (waiter, &serial) in serials.iter().enumerate() {
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,14 +1,21 @@
 //! What the platform tells a gateway: the environment and the configuration file.
 
+pub mod document;
+pub(crate) mod problems;
+
 use super::config_error::ConfigError;
 use super::pool::{Around, PoolSettings};
 use super::relay::StreamSettings;
+use document::Document;
 use lanespan_settings::{flatten, Fields, Site};
 use serde::Deserialize;
+use serde_json::Value;
 use std::collections::BTreeMap;
-use std::env;
 use std::fmt;
+use std::io::Read;
 use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
 
 /// Discovery's form of the list of backends, whole or as changes.
 #[derive(Debug, Clone, Default, Deserialize)]
@@ -61,40 +68,6 @@
     Gone,
 }
 
-#[derive(Deserialize)]
-struct Document {
-    listen: Option<SocketAddr>,
-    discovery: Option<SocketAddr>,
-    seed: String,
-    #[serde(default)]
-    limits: Limits,
-    counter: Option<SocketAddr>,
-    #[serde(default)]
-    known: MemberList,
-    #[serde(default)]
-    pool: serde_json::Value,
-    #[serde(default)]
-    streaming: serde_json::Value,
-    settings: serde_json::Value,
-}
-
-#[derive(Deserialize)]
-struct Limits {
-    sockets: usize,
-    #[serde(default = "enough")]
-    memory_mb: usize,
-}
-
-fn enough() -> usize {
-    192
-}
-
-impl Default for Limits {
-    fn default() -> Limits {
-        Limits { sockets: 1024, memory_mb: enough() }
-    }
-}
-
 /// What a new configuration may change: the services that a gateway calls, and the bounds on its connections to
 /// backends and on streams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -116,29 +89,61 @@
     }
 }
 
-impl Upstreams {
-    /// Reads the configuration's file again. It goes before the environment, which is as it was at the start;
-    /// what else it says takes effect with the next start only, but must make sense.
-    pub fn from_file() -> Result<Upstreams, ConfigError> {
-        let (path, text) = file()?;
-        let address = from_environment("NODE_LISTEN")?;
-        Config::parse(&text, address, None)
-            .map(|config| config.upstreams())
-            .map_err(|e| ConfigError(format!("{path}: {e}")))
-    }
+/// A file is read up to this length. Guards memory against one that is no configuration.
+const LONGEST: u64 = 32 << 20;
+/// What SIGHUP can't change; named in the log where a new file asks for it.
+const FIXED: [&str; 4] = ["name", "listen", "limits", "settings"];
+
+/// Where a configuration is read, and what the environment says of it, which goes before the file.
+#[derive(Debug, Clone, Default)]
+pub struct Source {
+    /// The file: TOML where its name ends so, else JSON.
+    pub path: PathBuf,
+    /// NODE_NAME.
+    pub name: Option<String>,
+    /// NODE_LISTEN.
+    pub listen: Option<SocketAddr>,
+    /// NODE_DISCOVERY.
+    pub discovery: Option<SocketAddr>,
 }
 
-/// The configuration's path and text.
-fn file() -> Result<(String, String), ConfigError> {
-    let path = env::var("NODE_CONFIG").map_err(|_| ConfigError("NODE_CONFIG is not set".into()))?;
-    let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("{path}: {e}")))?;
-    Ok((path, text))
+impl Source {
+    /// Reads the file and all that it says.
+    pub fn read(&self) -> Result<Config, ConfigError> {
+        let read = self.text().and_then(|text| {
+            let value = match self.path.extension().is_some_and(|suffix| suffix == "toml") {
+                true => toml::from_str::<Value>(&text).map_err(|e| one_line(&e.to_string())),
+                false => serde_json::from_str::<Value>(&text).map_err(|e| e.to_string()),
+            };
+            Config::of(value.map_err(ConfigError::new)?, self)
+        });
+        read.map_err(|error| error.at(&self.path.display().to_string()))
+    }
+
+    /// Reads the file again. It goes before the environment, which is as it was at the start.
+    pub fn read_again(&self) -> Result<Config, ConfigError> {
+        Source { discovery: None, ..self.clone() }.read()
+    }
+
+    fn text(&self) -> Result<String, ConfigError> {
+        let told = |error: std::io::Error| ConfigError::new(error.to_string());
+        let mut bytes = Vec::new();
+        let file = std::fs::File::open(&self.path).map_err(told)?;
+        file.take(LONGEST + 1).read_to_end(&mut bytes).map_err(told)?;
+        if bytes.len() as u64 > LONGEST {
+            return Err(ConfigError::new(format!("longer than {} MiB", LONGEST >> 20)));
+        }
+        let text = String::from_utf8(bytes).map_err(|_| ConfigError::new("not UTF-8".into()))?;
+        match text.trim().is_empty() {
+            true => Err(ConfigError::new("empty".into())),
+            false => Ok(text),
+        }
+    }
 }
 
-fn from_environment(name: &str) -> Result<Option<SocketAddr>, ConfigError> {
-    let Ok(text) = env::var(name) else { return Ok(None) };
-    let wrong = |_| ConfigError(format!("{name}: expected an address and a port, found '{text}'"));
-    text.parse().map(Some).map_err(wrong)
+/// What a parser says over several lines.
+fn one_line(text: &str) -> String {
+    text.lines().map(str::trim).filter(|line| !line.is_empty()).collect::<Vec<_>>().join(" ")
 }
 
 /// All that a gateway is told at its start.
@@ -156,7 +161,9 @@
     /// In bytes.
     pub(crate) memory: usize,
     /// An attempt's connection must be made within this.
-    pub(crate) dial_timeout: std::time::Duration,
+    pub(crate) dial_timeout: Duration,
+    /// As it stood in the file.
+    told: Value,
 }
 
 /// How the descriptors are shared out, so that no kind of connection can starve another.
@@ -183,68 +190,177 @@
 }
 
 impl Config {
-    /// Reads the environment and the file that it names.
-    pub fn from_environment() -> Result<Config, ConfigError> {
-        let (path, text) = file()?;
-        Config::parse(&text, from_environment("NODE_LISTEN")?, from_environment("NODE_DISCOVERY")?)
-            .map(|c| Config { name: env::var("NODE_NAME").unwrap_or_default(), ..c })
-            .map_err(|e| ConfigError(format!("{path}: {e}")))
-    }
-
     /// The services that it names.
     pub fn upstreams(&self) -> Upstreams {
         let Config { discovery, counter, pool, streaming, .. } = *self;
         Upstreams { discovery, counter, pool, streaming }
     }
 
-    /// Reads a configuration; addresses from the environment go before its own.
-    pub fn parse(
-        text: &str,
-        listen: Option<SocketAddr>,
-        discovery: Option<SocketAddr>,
-    ) -> Result<Config, ConfigError> {
-        let document: Document = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
-        let seed = u64::from_str_radix(&document.seed, 16)
-            .map_err(|_| ConfigError(format!("seed: expected 16 hex digits, found '{}'", document.seed)))?;
-        let mut names = BTreeMap::new();
-        flatten("", &document.settings, &mut names);
-        let pairs = names.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
-        let fields = Fields { place: "settings".into(), message: "settings", pairs };
-        let plain = |e: lanespan_settings::FieldError| ConfigError(e.0);
-        let site = Site::read(&fields).map_err(plain)?;
-        site.settings.check()?;
-        let span = |name, default| {
-            fields.micros_or(name, default).map(|m| std::time::Duration::from_micros(m.0)).map_err(plain)
+    /// What takes effect with the next start only, as it stood in the file.
+    pub fn fixed(&self) -> Vec<(&'static str, Value)> {
+        FIXED.into_iter().map(|key| (key, self.told.get(key).cloned().unwrap_or_default())).collect()
+    }
+
+    /// Which of that is told otherwise here.
+    pub fn differs_from(&self, fixed: &[(&'static str, Value)]) -> Vec<&'static str> {
+        let held = |key: &str| self.told.get(key).cloned().unwrap_or_default();
+        fixed.iter().filter(|(key, told)| held(key) != *told).map(|(key, _)| *key).collect()
+    }
+
+    /// The configuration as it was understood, with the bounds that follow from it.
+    pub fn shown(&self) -> Value {
+        let (pool, ms) = (&self.pool, |span: Duration| span.as_millis() as u64);
+        let streaming = self.streaming.map(|set| {
+            serde_json::json!({
+                "hold_bytes": set.hold, "wait_ms": ms(set.wait), "least_bytes_a_window": set.least,
+                "window_ms": ms(set.window), "longest_s": set.longest.as_secs(),
+            })
+        });
+        serde_json::json!({
+            "name": self.name, "listen": self.listen, "discovery": self.discovery, "counter": self.counter,
+            "memory_bytes": self.memory, "known_backends": self.known.members.len(),
+            "connections": {
+                "clients": self.sockets.clients, "backends": pool.links, "counter": self.sockets.counter,
+            },
+            "pool": {
+                "links": pool.links, "backend_least": pool.backend_least, "backend_most": pool.backend_most,
+                "idle_backends": pool.idle_backends, "idle_least_ms": ms(pool.idle_least),
+                "idle_most_ms": ms(pool.idle_most), "waiting": pool.waiting,
+                "backend_waiting": pool.backend_waiting, "wait_ms": ms(pool.wait),
+                "backoff_least_ms": ms(pool.backoff_least), "backoff_most_ms": ms(pool.backoff_most),
+                "warm_up": pool.warm_up, "warm_per_s": pool.warm_per_s, "warm_burst": pool.warm_burst,
+            },
+            "streaming": streaming,
+            "settings": self.told.get("settings"),
+        })
+    }
+
+    /// Reads a configuration in JSON.
+    pub fn parse(text: &str) -> Result<Config, ConfigError> {
+        let value = serde_json::from_str(text).map_err(|e| ConfigError::new(e.to_string()))?;
+        Config::of(value, &Source::default())
+    }
+
+    /// Reads a configuration and tells all that is wrong with it.
+    pub fn of(told: Value, source: &Source) -> Result<Config, ConfigError> {
+        let (document, mut problems) = problems::read::<Document>(told.clone(), &document::SECTIONS);
+        let Some(document) = document else { return Err(problems.into()) };
+        let Document { limits, counter, known, settings, .. } = document;
+        let seed = match document.seed.map(|seed| u64::from_str_radix(&seed, 16).map_err(|_| seed)) {
+            Some(Ok(seed)) => seed,
+            None => fastrand::u64(..),
+            Some(Err(seed)) => {
+                problems.push(format!("seed: expected 16 hex digits, found '{seed}'"));
+                0
+            }
+        };
+        let listen = there(&mut problems, "listen", source.listen.or(document.listen));
+        let discovery = there(&mut problems, "discovery", source.discovery.or(document.discovery));
+        let place = match settings.is_object() {
+            true => Place::read(&settings, &mut problems),
+            false => {
+                // One that is a list was told before.
+                if !problems.iter().any(|told| told.starts_with("settings: ")) {
+                    let found = if settings.is_null() { "nothing".to_string() } else { settings.to_string() };
+                    problems.push(format!("settings: expected an object, found {found}"));
+                }
+                None
+            }
         };
-        let missing = |what: &str| ConfigError(format!("{what}: expected an address, found nothing"));
-        if site.settings.counter && document.counter.is_none() {
-            return Err(missing("counter"));
+        let Some(Place { site, dial_timeout, conn_idle }) = place else { return Err(problems.into()) };
+        if site.settings.counter {
+            there(&mut problems, "counter", counter);
         }
-        let dial_timeout = span("bounds.dial_timeout", 250_000)?;
-        let conn_idle = span("bounds.conn_idle", 15_000_000)?;
-        let sockets = SocketLimits::of(document.limits.sockets);
+        let sockets = SocketLimits::of(limits.sockets.get());
         let around = Around {
             links: sockets.backends,
             links_most: sockets.backends_most,
             gateways: site.settings.gateways,
-            sockets: document.limits.sockets,
+            sockets: limits.sockets.get(),
             dial_timeout,
             conn_idle,
         };
-        let memory = document.limits.memory_mb.saturating_mul(1 << 20).min(1 << 32);
-        Ok(Config {
-            streaming: StreamSettings::read(&document.streaming, memory)?,
-            pool: PoolSettings::read(&document.pool, &around)?,
-            name: String::new(),
-            listen: listen.or(document.listen).ok_or_else(|| missing("listen"))?,
-            discovery: discovery.or(document.discovery).ok_or_else(|| missing("discovery"))?,
-            counter: document.counter,
-            seed,
-            known: document.known,
-            dial_timeout,
-            site,
-            sockets,
-            memory,
-        })
+        let memory = limits.memory_mb.get().saturating_mul(1 << 20).min(1 << 32);
+        let pool = PoolSettings::of(&document.pool, &around);
+        let streaming = document.streaming.map(|section| StreamSettings::of(&section, memory)).transpose();
+        problems.extend(pool.as_ref().err().into_iter().flat_map(|error| error.lines().to_vec()));
+        problems.extend(streaming.as_ref().err().into_iter().flat_map(|error| error.lines().to_vec()));
+        match (pool, streaming) {
+            (Ok(pool), Ok(streaming)) if problems.is_empty() => Ok(Config {
+                name: source.name.clone().or(document.name).unwrap_or_default(),
+                listen,
+                discovery,
+                counter,
+                seed,
+                known,
+                site,
+                sockets,
+                pool,
+                streaming,
+                memory,
+                dial_timeout,
+                told,
+            }),
+            _ => Err(problems.into()),
+        }
+    }
+}
+
+/// An address that must be there. One that can't be read was told before.
+fn there(problems: &mut Vec<String>, key: &str, address: Option<SocketAddr>) -> SocketAddr {
+    let place = format!("{key}: ");
+    if address.is_none() && !problems.iter().any(|told| told.starts_with(&place)) {
+        problems.push(format!("{place}expected an address and a port, found nothing"));
     }
+    address.unwrap_or(NOWHERE)
 }
+
+/// Stands for an address that is missing, which is told.
+const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
+
+/// What the settings say.
+struct Place {
+    site: Site,
+    dial_timeout: Duration,
+    conn_idle: Duration,
+}
+
+impl Place {
+    /// Reads the settings. What can't be read is told and left out, as long as it may be absent.
+    fn read(settings: &Value, problems: &mut Vec<String>) -> Option<Place> {
+        let mut names = BTreeMap::new();
+        flatten("", settings, &mut names);
+        let mut left_out = Vec::new();
+        while problems.len() < MOST_PROBLEMS {
+            let pairs = names.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
+            let error = match Place::of(&Fields { place: "settings".into(), message: "settings", pairs }) {
+                Ok(place) => return Some(place),
+                Err(error) => error,
+            };
+            let wrong = error.strip_prefix("settings: ").and_then(|rest| rest.split(':').next());
+            let wrong = wrong.unwrap_or_default().to_string();
+            // One that was left out must be there: it was told, and nothing behind it can be read.
+            if left_out.contains(&wrong) {
+                return None;
+            }
+            problems.push(error);
+            names.remove(&wrong)?;
+            left_out.push(wrong);
+        }
+        None
+    }
+
+    fn of(fields: &Fields) -> Result<Place, String> {
+        let plain = |e: lanespan_settings::FieldError| e.0;
+        let site = Site::read(fields).map_err(plain)?;
+        site.settings.check().map_err(|e| format!("settings: {e}"))?;
+        let span = |name, default| {
+            fields.micros_or(name, default).map(|m| Duration::from_micros(m.0)).map_err(plain)
+        };
+        let dial_timeout = span("bounds.dial_timeout", 250_000)?;
+        Ok(Place { site, dial_timeout, conn_idle: span("bounds.conn_idle", 15_000_000)? })
+    }
+}
+
+/// As many problems of the settings are told.
+const MOST_PROBLEMS: usize = 100;
--- /dev/null
+++ b/crates/gateway/src/config/document.rs
@@ -0,0 +1,207 @@
+//! The configuration file: its keys, what each may hold, and what holds where a key is absent. The reference in
+//! docs/configuration.md and the schema are made from these.
+
+use super::MemberList;
+use schemars::JsonSchema;
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::Value;
+use std::borrow::Cow;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The longest span that a key may name.
+pub const LONGEST_MS: u64 = 3_600_000;
+
+/// A whole number from 1 to `MOST`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Whole<const MOST: u64>(u64);
+
+/// A span in milliseconds.
+pub type Span = Whole<LONGEST_MS>;
+/// A count.
+pub type Count = Whole<1_000_000>;
+
+impl<const MOST: u64> Whole<MOST> {
+    /// The number.
+    pub fn get(self) -> usize {
+        usize::try_from(self.0).unwrap_or(usize::MAX)
+    }
+    /// As milliseconds.
+    pub fn ms(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl<'de, const MOST: u64> Deserialize<'de> for Whole<MOST> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let number = Value::deserialize(deserializer)?.as_u64().filter(|n| (1..=MOST).contains(n));
+        number.map(Whole).ok_or_else(|| D::Error::custom(format!("expected a whole number from 1 to {MOST}")))
+    }
+}
+
+impl<const MOST: u64> JsonSchema for Whole<MOST> {
+    fn inline_schema() -> bool {
+        true
+    }
+    fn schema_name() -> Cow<'static, str> {
+        format!("Whole{MOST}").into()
+    }
+    fn json_schema(_: &mut schemars::SchemaGenerator) -> schemars::Schema {
+        schemars::json_schema!({"type": "integer", "minimum": 1, "maximum": MOST})
+    }
+}
+
+/// The configuration of a gateway.
+#[derive(Debug, Clone, Default, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Document {
+    /// The gateway's name. NODE_NAME goes before it.
+    pub name: Option<String>,
+    /// The address and port for clients. NODE_LISTEN goes before it; one of them must be there.
+    pub listen: Option<SocketAddr>,
+    /// The address and port of discovery. NODE_DISCOVERY goes before it at the start; one of them must be there.
+    pub discovery: Option<SocketAddr>,
+    /// 16 hex digits, from which random numbers are drawn; by default drawn anew at each start.
+    pub seed: Option<String>,
+    /// What the machine bears.
+    pub limits: Limits,
+    /// The address and port of the counter; must be there where the settings have one.
+    pub counter: Option<SocketAddr>,
+    /// The list of backends as it was last known, in discovery's form.
+    #[schemars(with = "Value")]
+    pub known: MemberList,
+    /// The connections to backends.
+    pub pool: PoolSection,
+    /// Long answers and uploads. Absent: bodies are collected whole, 64 KiB at most.
+    pub streaming: Option<StreamingSection>,
+    /// The site: classes, plans, zones and bounds, with the names that the simulator gives them.
+    pub settings: Value,
+}
+
+/// The keys of the sections.
+pub const SECTIONS: [&str; 5] = ["limits", "known", "pool", "streaming", "settings"];
+
+/// What the machine bears.
+#[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Cores; told, and not used: the gateway has one thread.
+    pub cores: Option<f64>,
+    /// Memory in MiB.
+    pub memory_mb: Count,
+    /// Descriptors.
+    pub sockets: Count,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { cores: None, memory_mb: Whole(192), sockets: Whole(1024) }
+    }
+}
+
+/// The bounds on connections to backends. What is absent fits what is there.
+#[derive(Debug, Clone, Default, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct PoolSection {
+    /// Connections to all backends, those in use and coming up included; by default a fourth of limits.sockets.
+    pub links: Option<Count>,
+    /// What the bound at one backend never falls below; by default 2.
+    pub backend_least: Option<Count>,
+    /// What it never rises above, and where it starts; by default 1200 / gateways, 4 to half of links.
+    pub backend_most: Option<Count>,
+    /// Backends to which idle connections are kept; by default 64, or links.
+    pub idle_backends: Option<Count>,
+    /// Idle connections are retired from this age; by default half of settings.bounds.conn_idle.
+    pub idle_least_ms: Option<Span>,
+    /// And up to this one; by default three quarters of it.
+    pub idle_most_ms: Option<Span>,
+    /// Requests that wait for a connection, all together; by default links.
+    pub waiting: Option<Count>,
+    /// The same for one backend; by default four times backend_most.
+    pub backend_waiting: Option<Count>,
+    /// How long one waits; by default settings.bounds.dial_timeout.
+    pub wait_ms: Option<Span>,
+    /// The pause after a first failed dial, before jitter; by default 100.
+    pub backoff_least_ms: Option<Span>,
+    /// What it doubles up to; by default 1000.
+    pub backoff_most_ms: Option<Span>,
+    /// Open connections ahead of need; by default false.
+    pub warm_up: Option<bool>,
+    /// How many a second; by default 2.
+    pub warm_per_s: Option<Count>,
+    /// And at once; by default 2.
+    pub warm_burst: Option<Count>,
+}
+
+/// Long answers and uploads, passed on as they arrive.
+#[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct StreamingSection {
+    /// KiB that are held back of an answer before commitment, and kept of an upload to be sent again.
+    pub hold_kb: Whole<16_384>,
+    /// How long a new stream waits for memory.
+    pub wait_ms: Span,
+    /// The least rate of whichever side is waited for, over each window.
+    pub least_kb_per_s: Whole<16_384>,
+    /// The window.
+    pub window_ms: Span,
+    /// The longest transfer, in seconds.
+    pub longest_s: Whole<604_800>,
+}
+
+impl Default for StreamingSection {
+    fn default() -> StreamingSection {
+        StreamingSection {
+            hold_kb: Whole(64),
+            wait_ms: Whole(500),
+            least_kb_per_s: Whole(1),
+            window_ms: Whole(5_000),
+            longest_s: Whole(3_600),
+        }
+    }
+}
+
+/// The JSON schema of the file.
+pub fn schema() -> Value {
+    schemars::schema_for!(Document).to_value()
+}
+
+/// The reference of all keys but those of `settings` and `known`, as tables.
+pub fn reference() -> String {
+    let schema = schema();
+    let mut text = table(&schema, "");
+    for (name, key) in [("Limits", "limits"), ("PoolSection", "pool"), ("StreamingSection", "streaming")] {
+        let section = &schema["$defs"][name];
+        let about = section["description"].as_str().unwrap_or_default();
+        text.push_str(&format!("\n## `{key}`\n\n{about}\n\n{}", table(section, key)));
+    }
+    text
+}
+
+fn table(section: &Value, key: &str) -> String {
+    let mut text = "| key | holds | default | what |\n| --- | --- | --- | --- |\n".to_string();
+    for (name, property) in section["properties"].as_object().into_iter().flatten() {
+        let whole =
+            |p: &Value| Some(format!("a whole number, {} to {}", p["minimum"], p["maximum"].as_u64()?));
+        let kind = |p: &Value| match &p["type"] {
+            Value::String(kind) => kind.clone(),
+            Value::Array(kinds) => kinds.first().and_then(Value::as_str).unwrap_or_default().to_string(),
+            _ => "object".to_string(),
+        };
+        let holds = whole(property).unwrap_or_else(|| match kind(property).as_str() {
+            "string" => "text".to_string(),
+            "boolean" => "true or false".to_string(),
+            "number" => "a number".to_string(),
+            _ => "a section".to_string(),
+        });
+        let default = match &property["default"] {
+            Value::Null | Value::Object(_) => "-".to_string(),
+            default => default.to_string(),
+        };
+        let what = property["description"].as_str().unwrap_or_default().replace('\n', " ");
+        let dot = if key.is_empty() { "" } else { "." };
+        text.push_str(&format!("| `{key}{dot}{name}` | {holds} | {default} | {what} |\n"));
+    }
+    text
+}
--- a/crates/gateway/src/config_error.rs
+++ b/crates/gateway/src/config_error.rs
@@ -2,25 +2,41 @@
 
 use std::fmt;
 
-/// A configuration that a gateway can't start with; one plain line.
+/// A configuration that a gateway can't start with: all that is wrong with it, a plain line each.
 #[derive(Debug)]
-pub struct ConfigError(pub(crate) String);
+pub struct ConfigError(Vec<String>);
 
 impl ConfigError {
     pub(crate) fn new(line: String) -> ConfigError {
-        ConfigError(line)
+        ConfigError(vec![line])
+    }
+
+    /// Each problem.
+    pub fn lines(&self) -> &[String] {
+        &self.0
+    }
+
+    /// The same, with where it stands.
+    pub(crate) fn at(self, place: &str) -> ConfigError {
+        ConfigError(self.0.into_iter().map(|line| format!("{place}: {line}")).collect())
+    }
+}
+
+impl From<Vec<String>> for ConfigError {
+    fn from(lines: Vec<String>) -> ConfigError {
+        ConfigError(lines)
     }
 }
 
 impl fmt::Display for ConfigError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        f.write_str(&self.0.join("; "))
     }
 }
 impl std::error::Error for ConfigError {}
 
 impl From<lanespan_policy::api::SettingsError> for ConfigError {
     fn from(e: lanespan_policy::api::SettingsError) -> ConfigError {
-        ConfigError(format!("settings: {e}"))
+        ConfigError::new(format!("settings: {e}"))
     }
 }
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -566,7 +566,7 @@
     }
 
     fn driver() -> Driver {
-        let config = Config::parse(CONFIG, None, None).expect("a configuration that makes sense");
+        let config = Config::parse(CONFIG).expect("a configuration that makes sense");
         Driver::new(config, Clock::start(), Rc::default()).expect("a driver")
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod http;
 pub mod pool;
 pub mod relay;
-mod section;
 pub mod server;
 mod tapped;
 
--- a/crates/gateway/src/pool/settings.rs
+++ b/crates/gateway/src/pool/settings.rs
@@ -1,8 +1,8 @@
 //! The `pool` section of the configuration: the bounds on connections to backends.
 
+use crate::config::document::{Count, PoolSection, Span};
 use crate::config_error::ConfigError;
-use crate::section::Section;
-use serde_json::Value;
+use std::fmt::Debug;
 use std::time::Duration;
 
 /// Connections that all gateways together may hold at one backend where nothing else is said: each gateway may
@@ -15,8 +15,6 @@
 const IDLE_BACKENDS: usize = 64;
 /// The shortest.
 const SHORTEST: Duration = Duration::from_millis(1);
-/// The most that a key may count.
-const MOST: usize = 1_000_000;
 
 /// The bounds. All counts are at least one, and no least is over its most.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,80 +66,66 @@
     pub conn_idle: Duration,
 }
 
-const KEYS: [&str; 14] = [
-    "links",
-    "backend_least",
-    "backend_most",
-    "idle_backends",
-    "idle_least_ms",
-    "idle_most_ms",
-    "waiting",
-    "backend_waiting",
-    "wait_ms",
-    "backoff_least_ms",
-    "backoff_most_ms",
-    "warm_up",
-    "warm_per_s",
-    "warm_burst",
-];
-
 impl PoolSettings {
-    /// Reads the section; `Null` where there is none. What it does not name has a default that fits what it does.
-    pub fn read(section: &Value, around: &Around) -> Result<PoolSettings, ConfigError> {
-        let section = Section::new("pool", section, &KEYS)?;
-        let links = section.whole("links", around.links, MOST)?;
+    /// What a section says. What it does not name has a default that fits what it does.
+    pub fn of(section: &PoolSection, around: &Around) -> Result<PoolSettings, ConfigError> {
+        let count = |key: Option<Count>, default: usize| key.map_or(default.max(1), Count::get);
+        let span = |key: Option<Span>, default: Duration| key.map_or(default.max(SHORTEST), Span::ms);
+        let links = count(section.links, around.links);
         let most = (FLEET_LINKS / around.gateways.max(1) as usize).max(LEAST_PART).min(links.div_ceil(2));
-        let backend_least = section.whole("backend_least", 2.min(links), MOST)?;
-        let backend_most = section.whole("backend_most", most.max(backend_least).min(links), MOST)?;
-        let idle_least = section.span("idle_least_ms", around.conn_idle / 2)?;
-        let idle_most = section.span("idle_most_ms", (around.conn_idle * 3 / 4).max(idle_least))?;
-        let waiting = section.whole("waiting", links, MOST)?;
-        let backend_waiting = section.whole("backend_waiting", (4 * backend_most).min(waiting), MOST)?;
-        let backoff_least = section.span("backoff_least_ms", Duration::from_millis(100))?;
-        let backoff_most =
-            section.span("backoff_most_ms", Duration::from_millis(1_000).max(backoff_least))?;
+        let backend_least = count(section.backend_least, 2.min(links));
+        let backend_most = count(section.backend_most, most.max(backend_least).min(links));
+        let idle_least = span(section.idle_least_ms, around.conn_idle / 2);
+        let waiting = count(section.waiting, links);
+        let backoff_least = span(section.backoff_least_ms, Duration::from_millis(100));
         let settings = PoolSettings {
             links,
             backend_least,
             backend_most,
-            idle_backends: section.whole("idle_backends", IDLE_BACKENDS.min(links), MOST)?,
+            idle_backends: count(section.idle_backends, IDLE_BACKENDS.min(links)),
             idle_least,
-            idle_most,
+            idle_most: span(section.idle_most_ms, (around.conn_idle * 3 / 4).max(idle_least)),
             waiting,
-            backend_waiting,
-            wait: section.span("wait_ms", around.dial_timeout)?,
+            backend_waiting: count(section.backend_waiting, (4 * backend_most).min(waiting)),
+            wait: span(section.wait_ms, around.dial_timeout),
             backoff_least,
-            backoff_most,
-            warm_up: section.flag("warm_up", false)?,
-            warm_per_s: section.whole("warm_per_s", 2, MOST)?,
-            warm_burst: section.whole("warm_burst", 2, MOST)?,
+            backoff_most: span(section.backoff_most_ms, Duration::from_millis(1_000).max(backoff_least)),
+            warm_up: section.warm_up.unwrap_or(false),
+            warm_per_s: count(section.warm_per_s, 2),
+            warm_burst: count(section.warm_burst, 2),
         };
-        settings.check(&section, around).map(|()| settings)
+        let problems = settings.problems(around);
+        match problems.is_empty() {
+            true => Ok(settings),
+            false => Err(problems.into()),
+        }
     }
 
-    fn check(&self, section: &Section, around: &Around) -> Result<(), ConfigError> {
-        let at_most = |key, value: usize, bound: &str, most| section.at_most(key, value, bound, most);
-        let no_later = |key, value: Duration, bound, most| section.at_most(key, value, bound, most);
+    /// Each value that is over another.
+    fn problems(&self, around: &Around) -> Vec<String> {
+        fn over<T: PartialOrd + Debug>(key: &str, value: T, bound: &str, most: T) -> Option<String> {
+            (value > most).then(|| format!("pool.{key}: {value:?} is over {bound}, {most:?}"))
+        }
         let of_sockets = format!("what limits.sockets, {}, leaves for backends", around.sockets);
-        at_most("links", self.links, &of_sockets, around.links_most)?;
-        at_most("backend_least", self.backend_least, "pool.backend_most", self.backend_most)?;
-        at_most("backend_most", self.backend_most, "pool.links", self.links)?;
-        no_later("idle_least_ms", self.idle_least, "pool.idle_most_ms", self.idle_most)?;
-        no_later(
-            "idle_most_ms",
-            self.idle_most,
-            "settings.bounds.conn_idle",
-            around.conn_idle.max(SHORTEST),
-        )?;
-        at_most("backend_waiting", self.backend_waiting, "pool.waiting", self.waiting)?;
-        no_later("backoff_least_ms", self.backoff_least, "pool.backoff_most_ms", self.backoff_most)
+        let conn_idle = around.conn_idle.max(SHORTEST);
+        let told = [
+            over("links", self.links, &of_sockets, around.links_most),
+            over("backend_least", self.backend_least, "pool.backend_most", self.backend_most),
+            over("backend_most", self.backend_most, "pool.links", self.links),
+            over("idle_least_ms", self.idle_least, "pool.idle_most_ms", self.idle_most),
+            over("idle_most_ms", self.idle_most, "settings.bounds.conn_idle", conn_idle),
+            over("backend_waiting", self.backend_waiting, "pool.waiting", self.waiting),
+            over("backoff_least_ms", self.backoff_least, "pool.backoff_most_ms", self.backoff_most),
+        ];
+        told.into_iter().flatten().collect()
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use serde_json::json;
+    use crate::config::{document::Document, problems};
+    use serde_json::{json, Value};
 
     fn around(gateways: u32, links: usize) -> Around {
         let (dial_timeout, conn_idle) = (Duration::from_millis(250), Duration::from_secs(30));
@@ -149,23 +133,26 @@
     }
 
     fn read(section: Value) -> Result<PoolSettings, String> {
-        PoolSettings::read(&section, &around(300, 256)).map_err(|e| e.to_string())
+        let (document, problems) = problems::read::<Document>(json!({"pool": section}), &["pool"]);
+        match document.filter(|_| problems.is_empty()) {
+            Some(document) => PoolSettings::of(&document.pool, &around(300, 256)).map_err(|e| e.to_string()),
+            None => Err(problems.join("; ")),
+        }
     }
 
     #[test]
     fn without_a_section_the_bounds_follow_the_fleet_and_the_descriptors() {
-        let large = read(Value::Null).expect("defaults");
+        let large = read(json!({})).expect("defaults");
         assert_eq!((large.links, large.backend_least, large.backend_most), (256, 2, 4));
         assert_eq!(large.idle_backends, 64, "a subset of a large fleet");
         assert_eq!(
             (large.idle_least, large.idle_most),
             (Duration::from_secs(15), Duration::from_millis(22_500))
         );
-        assert_eq!(read(json!({})), Ok(large));
-        let few = PoolSettings::read(&Value::Null, &around(3, 256)).expect("defaults");
+        let few = PoolSettings::of(&PoolSection::default(), &around(3, 256)).expect("defaults");
         assert_eq!(few.backend_most, 128, "half of the connections at most");
         for links in 1..20 {
-            let small = PoolSettings::read(&Value::Null, &around(300, links));
+            let small = PoolSettings::of(&PoolSection::default(), &around(300, links));
             assert!(small.is_ok(), "defaults fit however few there are: {links}");
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,15 +6,14 @@
 
 pub use upload::{Sending, Source, Upload};
 
+use super::config::document::StreamingSection;
 use super::config_error::ConfigError;
 use super::http::MAX_BODY;
 use super::pool::Lease;
-use super::section::Section;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use lanespan_policy::api::Outcome;
-use serde_json::Value;
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -30,11 +29,6 @@
 const BUFFERS: usize = 4 * MAX_BODY;
 /// The part of the memory that streams may hold.
 const MEMORY_PART: usize = 4;
-/// The longest that the section may name, in its units.
-const MOST_KB: usize = 16 * 1024;
-const MOST_S: usize = 7 * 24 * 3600;
-
-const KEYS: [&str; 5] = ["hold_kb", "wait_ms", "least_kb_per_s", "window_ms", "longest_s"];
 
 /// The `streaming` section.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,26 +47,21 @@
 }
 
 impl StreamSettings {
-    /// Reads the section; without one, nothing is streamed. `memory` is in bytes.
-    pub fn read(section: &Value, memory: usize) -> Result<Option<StreamSettings>, ConfigError> {
-        let section = Section::new("streaming", section, &KEYS)?;
-        if !section.is_there() {
-            return Ok(None);
-        }
-        let hold_kb = section.whole("hold_kb", MAX_BODY / 1024, MOST_KB)?;
-        let wait = section.span("wait_ms", Duration::from_millis(500))?;
-        let least_kb = section.whole("least_kb_per_s", 1, MOST_KB)?;
-        let window = section.span("window_ms", Duration::from_secs(5))?;
-        let longest = section.whole("longest_s", 3_600, MOST_S)?;
+    /// What a section says; `memory` is in bytes.
+    pub fn of(section: &StreamingSection, memory: usize) -> Result<StreamSettings, ConfigError> {
+        let (hold_kb, window) = (section.hold_kb.get(), section.window_ms.ms());
         let room_kb = (memory / MEMORY_PART).saturating_sub(BUFFERS) / 1024;
-        section.at_most("hold_kb", hold_kb, "what limits.memory_mb leaves for one stream", room_kb)?;
-        Ok(Some(StreamSettings {
+        if hold_kb > room_kb {
+            let bound = format!("what limits.memory_mb leaves for one stream, {room_kb}");
+            return Err(ConfigError::new(format!("streaming.hold_kb: {hold_kb} is over {bound}")));
+        }
+        Ok(StreamSettings {
             hold: hold_kb * 1024,
-            wait,
-            least: (least_kb as f64 * 1024.0 * window.as_secs_f64()) as u64,
+            wait: section.wait_ms.ms(),
+            least: (section.least_kb_per_s.get() as f64 * 1024.0 * window.as_secs_f64()) as u64,
             window,
-            longest: Duration::from_secs(longest as u64),
-        }))
+            longest: Duration::from_secs(section.longest_s.get() as u64),
+        })
     }
 
     /// What one stream may hold.
@@ -319,8 +308,8 @@
     #[tokio::test(flavor = "current_thread", start_paused = true)]
     async fn streams_wait_for_room_and_have_it_once_another_ends() {
         let memory = 4 * MEMORY_PART * BUFFERS;
-        let set = StreamSettings::read(&serde_json::json!({"hold_kb": 64}), memory);
-        let set = set.expect("a section that makes sense").expect("one");
+        let set = StreamSettings::of(&StreamingSection::default(), memory);
+        let set = set.expect("a section that makes sense");
         let relays = Relays::new(Some(set), memory);
         let mut under_way = Vec::new();
         while let Ok(room) = timeout(Duration::from_secs(1), relays.room(set.stream())).await {
--- a/crates/gateway/tests/backend.rs
+++ b/crates/gateway/tests/backend.rs
@@ -3,6 +3,7 @@
 mod world;
 
 use lanespan_gateway::backend::{Ended, Forward, Order, Payload};
+use lanespan_gateway::config::document::PoolSection;
 use lanespan_gateway::pool::{Around, Backend, Pool, PoolSettings};
 use lanespan_gateway::relay::{Relays, Served};
 use lanespan_policy::api::Outcome;
@@ -24,7 +25,7 @@
 /// A pool of so many connections, with the bounds that a gateway alone before its backends has by default.
 fn pool(links: usize, dial_timeout: Duration, conn_idle: Duration) -> Rc<Pool> {
     let around = Around { links, links_most: links, gateways: 1, sockets: 1024, dial_timeout, conn_idle };
-    Pool::new(PoolSettings::read(&serde_json::Value::Null, &around).expect("defaults"), dial_timeout, 1)
+    Pool::new(PoolSettings::of(&PoolSection::default(), &around).expect("defaults"), dial_timeout, 1)
 }
 
 /// Nothing is streamed.
--- a/crates/gateway/tests/discovery.rs
+++ b/crates/gateway/tests/discovery.rs
@@ -1,5 +1,6 @@
 //! What a gateway asks discovery for.
 use lanespan_gateway::backoff::Backoff;
+use lanespan_gateway::config::document::PoolSection;
 use lanespan_gateway::config::Upstreams;
 use lanespan_gateway::pool::{Around, PoolSettings};
 use lanespan_gateway::{discovery, driver::Input};
@@ -24,7 +25,7 @@
     let (time, links) = (Duration::from_secs(1), 8);
     let (dial_timeout, conn_idle) = (time, time);
     let around = Around { links, links_most: links, gateways: 1, sockets: 32, dial_timeout, conn_idle };
-    let pool = PoolSettings::read(&serde_json::Value::Null, &around).expect("defaults");
+    let pool = PoolSettings::of(&PoolSection::default(), &around).expect("defaults");
     let discovery = listener.local_addr().expect("an address");
     let upstreams = Upstreams { discovery, counter: None, pool, streaming: None };
     let (_keep, upstreams) = watch::channel(upstreams);
--- a/crates/gateway/tests/fleet_pools.rs
+++ b/crates/gateway/tests/fleet_pools.rs
@@ -4,6 +4,7 @@
 mod baseline;
 
 use baseline::Baseline;
+use lanespan_gateway::config::document::PoolSection;
 use lanespan_gateway::http::Connection;
 use lanespan_gateway::pool::{Around, Backend, Pool, PoolSettings};
 use std::cell::{Cell, RefCell};
@@ -68,7 +69,8 @@
 fn settings(section: serde_json::Value) -> PoolSettings {
     let (links, dial_timeout, conn_idle) = (256, 250 * MS, Duration::from_secs(30));
     let around = Around { links, links_most: links, gateways: 300, sockets: 1024, dial_timeout, conn_idle };
-    PoolSettings::read(&section, &around).expect("a section that makes sense")
+    let section: Option<PoolSection> = serde_json::from_value(section).expect("a section that can be read");
+    PoolSettings::of(&section.unwrap_or_default(), &around).expect("a section that makes sense")
 }
 
 /// One gateway's way to its backends: a request is the use of a connection for a while.
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -1,5 +1,6 @@
 //! The books of the pool: which connection goes to whom, who waits, who dials. All on a given clock with fixed
 //! seeds; no socket and no wait.
+use lanespan_gateway::config::document::PoolSection;
 use lanespan_gateway::pool::{
     Around, Book, Checkout, DialError, Link, NoLink, PoolSettings, Serial, Waiter, SETTLE,
 };
@@ -50,7 +51,8 @@
 fn settings(section: serde_json::Value, links: usize, gateways: u32) -> PoolSettings {
     let (dial_timeout, conn_idle) = (250 * MS, CONN_IDLE);
     let around = Around { links, links_most: links, gateways, sockets: 4 * links, dial_timeout, conn_idle };
-    PoolSettings::read(&section, &around).expect("a section that makes sense")
+    let section: Option<PoolSection> = serde_json::from_value(section).expect("a section that can be read");
+    PoolSettings::of(&section.unwrap_or_default(), &around).expect("a section that makes sense")
 }
 
 impl Rig {
--- /dev/null
+++ b/crates/lanespan/src/cli.rs
@@ -0,0 +1,101 @@
+//! What the command line may say.
+
+use clap::{Args, CommandFactory, Parser, Subcommand};
+use clap_complete::Shell;
+use lanespan_gateway::config::Source;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// A gateway that holds the customers of a package registry to quotas which all gateways share, and spreads their
+/// requests over backends.
+#[derive(Parser)]
+#[command(
+    name = "lanespan",
+    version,
+    arg_required_else_help = true,
+    after_help = "Examples:\n  lanespan config example > lanespan.toml\n  lanespan config check lanespan.toml\n  \
+        lanespan run --config lanespan.toml"
+)]
+pub struct Lanespan {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Run a gateway until SIGTERM; SIGHUP reads its file again
+    #[command(after_help = "Examples:\n  lanespan run --config lanespan.toml\n  \
+        NODE_CONFIG=/run/balancer/config.json lanespan run")]
+    Run(RunFile),
+    /// Check, show and explain configuration files
+    #[command(subcommand)]
+    Config(ConfigCommand),
+    /// Print a shell's completions
+    #[command(after_help = "Example:\n  lanespan completions bash > /etc/bash_completion.d/lanespan")]
+    Completions {
+        /// The shell
+        shell: Shell,
+    },
+}
+
+#[derive(Subcommand)]
+pub enum ConfigCommand {
+    /// Tell every problem of a file, a line each
+    #[command(after_help = "Example:\n  lanespan config check lanespan.toml && kill -HUP $(pidof lanespan)")]
+    Check(File),
+    /// Print a file as it was understood, with the bounds that follow from it
+    Show(File),
+    /// Print a commented file that a gateway starts with as it is
+    #[command(after_help = "Example:\n  lanespan config example > lanespan.toml")]
+    Example,
+    /// Print the JSON schema of the file
+    Schema,
+    /// Print the tables of docs/configuration.md
+    Reference,
+}
+
+#[derive(Args)]
+pub struct RunFile {
+    /// The configuration: TOML if its name ends so, else JSON
+    #[arg(long, value_name = "FILE", env = "NODE_CONFIG")]
+    pub config: PathBuf,
+}
+
+#[derive(Args)]
+pub struct File {
+    /// The configuration: TOML if its name ends so, else JSON
+    #[arg(value_name = "FILE", env = "NODE_CONFIG")]
+    pub config: PathBuf,
+}
+
+impl From<RunFile> for Result<Source, String> {
+    fn from(file: RunFile) -> Self {
+        source(file.config)
+    }
+}
+
+impl From<File> for Result<Source, String> {
+    fn from(file: File) -> Self {
+        source(file.config)
+    }
+}
+
+/// The file with what the environment says.
+fn source(path: PathBuf) -> Result<Source, String> {
+    let name = std::env::var("NODE_NAME").ok();
+    Ok(Source { path, name, listen: address("NODE_LISTEN")?, discovery: address("NODE_DISCOVERY")? })
+}
+
+fn address(name: &str) -> Result<Option<SocketAddr>, String> {
+    let Ok(text) = std::env::var(name) else { return Ok(None) };
+    let wrong = |_| format!("{name}: expected an address and a port, found '{text}'");
+    text.parse().map(Some).map_err(wrong)
+}
+
+/// A script for this shell.
+pub fn completions(shell: Shell) -> String {
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut Lanespan::command(), "lanespan", &mut script);
+    String::from_utf8_lossy(&script).into_owned()
+}
--- a/crates/lanespan/src/main.rs
+++ b/crates/lanespan/src/main.rs
@@ -1,54 +1,101 @@
-//! One real gateway. It is told where and how by the environment, reads its configuration again at SIGHUP, and
-//! ends at SIGTERM.
+//! `lanespan`: the command of the gateway.
 
-use lanespan_gateway::{self, config::Config, config::Upstreams};
-use std::error::Error;
+mod cli;
+mod run;
+
+use clap::Parser;
+use cli::{Command, ConfigCommand, Lanespan};
+use lanespan_gateway::config::{document, Source};
+use std::io::Write;
 use std::process::ExitCode;
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::watch;
-use tokio::task::LocalSet;
-use tracing::{info, warn};
-
-fn run() -> Result<(), Box<dyn Error>> {
-    let config = Config::from_environment()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let local = LocalSet::new();
-    local.block_on(&runtime, async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        // From the first moment on: by itself it would end the process.
-        let mut hang_up = signal(SignalKind::hangup())?;
-        let (stop, stopping) = watch::channel(false);
-        let (reload, upstreams) = watch::channel(config.upstreams());
-        tokio::task::spawn_local(async move {
-            if terminate.recv().await.is_some() {
-                info!("stopping");
-                // The gateway may have ended by itself.
-                let _ = stop.send(true);
-                std::future::pending::<()>().await;
-            }
-        });
-        tokio::task::spawn_local(async move {
-            while hang_up.recv().await.is_some() {
-                match Upstreams::from_file() {
-                    Ok(upstreams) => {
-                        info!(%upstreams, "configuration read again");
-                        reload.send_replace(upstreams);
-                    }
-                    Err(problem) => warn!(%problem, "configuration not usable; the old one stays"),
-                }
-            }
-        });
-        Ok(lanespan_gateway::run(config, upstreams, stopping).await?)
-    })
-}
+
+/// What was asked for makes no sense.
+const USAGE: u8 = 2;
+
+/// A commented file that a gateway starts with as it is.
+const EXAMPLE: &str = include_str!("../example.toml");
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
-    match run() {
+    match Lanespan::parse().command {
+        Command::Run(file) => with(&file.into(), run::run),
+        Command::Config(ConfigCommand::Check(file)) => with(&file.into(), |source| match source.read() {
+            Ok(_) => print(&format!("{}: sound\n", source.path.display())),
+            Err(error) => wrong(error.lines()),
+        }),
+        Command::Config(ConfigCommand::Show(file)) => with(&file.into(), |source| match source.read() {
+            Ok(config) => print(&format!("{:#}\n", config.shown())),
+            Err(error) => wrong(error.lines()),
+        }),
+        Command::Config(ConfigCommand::Example) => print(EXAMPLE),
+        Command::Config(ConfigCommand::Schema) => print(&format!("{:#}\n", document::schema())),
+        Command::Config(ConfigCommand::Reference) => print(&document::reference()),
+        Command::Completions { shell } => print(&cli::completions(shell)),
+    }
+}
+
+/// Does something with the file that was named.
+fn with(source: &Result<Source, String>, act: impl FnOnce(&Source) -> ExitCode) -> ExitCode {
+    match source {
+        Ok(source) => act(source),
+        Err(problem) => wrong(std::slice::from_ref(problem)),
+    }
+}
+
+/// Tells what is wrong, a line each.
+fn wrong(problems: &[String]) -> ExitCode {
+    problems.iter().for_each(|problem| eprintln!("lanespan: {problem}"));
+    ExitCode::from(USAGE)
+}
+
+/// Prints to who may have stopped reading.
+fn print(text: &str) -> ExitCode {
+    match std::io::stdout().write_all(text.as_bytes()) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("lanespan: {e}");
-            ExitCode::FAILURE
+        Err(_) => ExitCode::FAILURE,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The reference as it is committed.
+    const PAGE: &str = include_str!("../../../docs/configuration.md");
+
+    #[test]
+    fn the_reference_is_what_the_structures_say() {
+        let told = document::reference();
+        assert!(
+            PAGE.contains(&told),
+            "docs/configuration.md is stale: put `lanespan config reference` into it"
+        );
+    }
+
+    #[test]
+    fn the_example_names_every_key_and_no_other() {
+        let known = document::reference();
+        let keys =
+            known.lines().filter_map(|line| line.strip_prefix("| `")?.split_once('`').map(|(key, _)| key));
+        for key in keys {
+            let name = key.rsplit('.').next().unwrap_or(key);
+            let there = EXAMPLE.lines().any(|line| {
+                let line = line.trim_start_matches("# ");
+                line.starts_with(&format!("{name} =")) || line.starts_with(&format!("[{name}"))
+            });
+            assert!(there, "{key} is not in the example");
         }
+        // With each key that is commented out in force, it is still read.
+        let all: String = EXAMPLE
+            .lines()
+            .map(|line| match line.strip_prefix("# ") {
+                Some(rest) if rest.contains(" = ") || rest.starts_with('[') => format!("{rest}\n"),
+                _ => format!("{line}\n"),
+            })
+            .collect();
+        let path = std::env::temp_dir().join(format!("lanespan-example-{}.toml", std::process::id()));
+        std::fs::write(&path, all).expect("written");
+        let read = Source { path: path.clone(), ..Source::default() }.read();
+        std::fs::remove_file(path).expect("there");
+        assert!(read.is_ok(), "{:?}", read.err());
     }
 }
--- /dev/null
+++ b/crates/lanespan/src/run.rs
@@ -0,0 +1,62 @@
+//! A running gateway: its start, SIGHUP and SIGTERM.
+
+use lanespan_gateway::config::{Config, Source};
+use std::process::ExitCode;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tracing::{info, warn};
+
+/// Runs a gateway with this configuration until it has ended.
+pub fn run(source: &Source) -> ExitCode {
+    let config = match source.read() {
+        Ok(config) => config,
+        Err(error) => return super::wrong(error.lines()),
+    };
+    tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
+    match until_stopped(config, source.clone()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("lanespan: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn until_stopped(config: Config, source: Source) -> Result<(), Box<dyn std::error::Error>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        // From the first moment on: by itself it would end the process.
+        let mut hang_up = signal(SignalKind::hangup())?;
+        let (stop, stopping) = watch::channel(false);
+        let (reload, upstreams) = watch::channel(config.upstreams());
+        tokio::task::spawn_local(async move {
+            if terminate.recv().await.is_some() {
+                info!("stopping");
+                // The gateway may have ended by itself.
+                let _ = stop.send(true);
+                std::future::pending::<()>().await;
+            }
+        });
+        let fixed = config.fixed();
+        tokio::task::spawn_local(async move {
+            while hang_up.recv().await.is_some() {
+                match source.read_again() {
+                    Ok(newer) => {
+                        let upstreams = newer.upstreams();
+                        info!(%upstreams, "configuration read again");
+                        let waits = newer.differs_from(&fixed);
+                        if !waits.is_empty() {
+                            warn!(keys = waits.join(", "), "changed, and needs a restart");
+                        }
+                        reload.send_replace(upstreams);
+                    }
+                    Err(problem) => warn!(%problem, "configuration not usable; the old one stays"),
+                }
+            }
+        });
+        Ok(lanespan_gateway::run(config, upstreams, stopping).await?)
+    })
+}
--- /dev/null
+++ b/crates/lanespan/tests/command.rs
@@ -0,0 +1,192 @@
+//! The command line and the configuration, as an operator meets them.
+#[path = "sockets/world.rs"]
+mod world;
+
+use serde_json::{json, Value};
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use world::*;
+
+/// The command with these words, told nothing by the environment.
+fn lanespan(words: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lanespan"));
+    ["NODE_CONFIG", "NODE_LISTEN", "NODE_DISCOVERY", "NODE_NAME"].iter().for_each(|name| {
+        command.env_remove(name);
+    });
+    command.args(words).output().expect("it runs")
+}
+
+fn text(bytes: Vec<u8>) -> String {
+    String::from_utf8(bytes).expect("text")
+}
+
+/// A file of these bytes.
+fn bytes(name: &str, bytes: &[u8]) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{name}", std::process::id()));
+    std::fs::write(&path, bytes).expect("written");
+    path
+}
+
+/// What `config check` says of a configuration: its exit code, and its lines.
+fn check(config: &str) -> (Option<i32>, Vec<String>) {
+    let path = file(config);
+    let done = lanespan(&["config", "check", path.to_str().expect("a plain path")]);
+    let place = format!("lanespan: {}: ", path.display());
+    let lines = text(done.stderr);
+    (done.status.code(), lines.lines().map(|line| line.replace(&place, "")).collect())
+}
+
+fn good() -> Value {
+    let nowhere = "127.0.0.1:1".parse().expect("an address");
+    serde_json::from_str(&config(nowhere, nowhere)).expect("JSON")
+}
+
+/// The same with one value set, by its dotted path.
+fn with(path: &str, value: Value) -> Value {
+    let mut config = good();
+    let mut at = &mut config;
+    for key in path.split('.') {
+        at = at.as_object_mut().expect("a section").entry(key).or_insert(json!({}));
+    }
+    *at = value;
+    config
+}
+
+#[test]
+fn every_key_of_every_section_that_is_wrong_is_named_with_its_value_and_what_is_allowed() {
+    assert_eq!(check(&good().to_string()), (Some(0), vec![]));
+    let schema = lanespan(&["config", "schema"]);
+    let schema: Value = serde_json::from_slice(&schema.stdout).expect("JSON");
+    let mut seen = 0;
+    for (section, place) in [("Limits", "limits"), ("PoolSection", "pool"), ("StreamingSection", "streaming")]
+    {
+        let keys = schema["$defs"][section]["properties"].as_object().expect("keys");
+        for key in keys.keys() {
+            let path = format!("{place}.{key}");
+            let (code, told) = check(&with(&path, json!("wrong")).to_string());
+            assert_eq!((code, told.len()), (Some(2), 1), "{path}: {told:?}");
+            assert!(told[0].starts_with(&format!("{path}: ")), "{told:?}");
+            assert!(told[0].contains("expected") && told[0].ends_with("found \"wrong\""), "{told:?}");
+            seen += 1;
+        }
+    }
+    assert_eq!(seen, 3 + 14 + 5);
+    for key in ["listen", "discovery", "counter", "seed", "name", "limits", "pool", "streaming", "known"] {
+        let (code, told) = check(&with(key, json!(7)).to_string());
+        assert_eq!((code, told.len()), (Some(2), 1), "{key}: {told:?}");
+        assert!(told[0].starts_with(&format!("{key}: ")) && told[0].ends_with("found 7"), "{told:?}");
+    }
+}
+
+#[test]
+fn all_problems_are_told_at_once_and_a_typo_with_the_nearest_key() {
+    let mut config = with("pool.wiat_ms", json!(3));
+    config["limits"]["memory_mb"] = json!(-4);
+    config["steaming"] = json!({});
+    config["settings"]["classes"][1]["deadline"] = json!("soon");
+    config["settings"]["plans"][0]["price"] = json!("much");
+    config["pool"]["links"] = json!(900);
+    let (code, told) = check(&config.to_string());
+    assert_eq!(code, Some(2));
+    for line in [
+        "pool.wiat_ms: unknown; known are links, ",
+        "; did you mean 'wait_ms'?",
+        "limits.memory_mb: expected a whole number from 1 to 1000000, found -4",
+        "steaming: unknown; known are name, ",
+        "; did you mean 'streaming'?",
+        "settings: classes.1.deadline: expected a whole number, found 'soon'",
+    ] {
+        assert!(told.iter().any(|told| told.contains(line)), "{line}: {told:#?}");
+    }
+    assert!(!told.iter().any(|line| line.contains('\n')) && told.len() >= 4, "{told:#?}");
+}
+
+#[test]
+fn files_that_are_no_configuration_are_told_in_one_line() {
+    let missing = PathBuf::from("/nonexistent/lanespan.toml");
+    for (path, line) in [
+        (missing, "No such file"),
+        (PathBuf::from("/"), "directory"),
+        (bytes("empty.json", b" \n"), "empty"),
+        (bytes("latin.json", b"{\"name\":\"\xe9\"}"), "not UTF-8"),
+        (bytes("cut.json", b"{\"name\":"), "EOF"),
+        (bytes("cut.toml", b"name = \n"), "TOML parse error"),
+        (bytes("list.json", b"[]"), "the file: "),
+        (bytes("huge.json", &vec![b' '; (32 << 20) + 1]), "longer than 32 MiB"),
+    ] {
+        let done = lanespan(&["run", "--config", path.to_str().expect("a plain path")]);
+        let told = text(done.stderr);
+        assert_eq!(done.status.code(), Some(2), "{told}");
+        assert!(told.lines().next().is_some_and(|first| first.contains(line)), "{line}: {told}");
+        assert!(told.starts_with(&format!("lanespan: {}: ", path.display())), "{told}");
+    }
+}
+
+#[test]
+fn wrong_usage_ends_with_2_and_help_shows_examples() {
+    for words in [&["run"][..], &["walk"], &["config", "check"], &[]] {
+        let done = lanespan(words);
+        assert_eq!(done.status.code(), Some(2), "{words:?}");
+        assert!(!done.stderr.is_empty(), "{words:?}");
+    }
+    for words in [&["--help"][..], &["run", "--help"], &["config", "check", "--help"]] {
+        let done = lanespan(words);
+        assert_eq!(done.status.code(), Some(0));
+        assert!(text(done.stdout).contains("Example"), "{words:?}");
+    }
+    assert!(text(lanespan(&["--version"]).stdout).starts_with("lanespan "));
+    assert!(text(lanespan(&["completions", "bash"]).stdout).contains("config"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lanespan"));
+    let done =
+        command.args(["run", "--config", "x"]).env("NODE_LISTEN", "nowhere").output().expect("it runs");
+    assert_eq!(done.status.code(), Some(2));
+    assert!(text(done.stderr).contains("NODE_LISTEN: expected an address and a port, found 'nowhere'"));
+}
+
+#[test]
+fn the_example_starts_as_it_is_and_answers_plainly() {
+    let example = text(lanespan(&["config", "example"]).stdout);
+    let path = bytes("example.toml", example.as_bytes());
+    let path = path.to_str().expect("a plain path");
+    assert_eq!(lanespan(&["config", "check", path]).status.code(), Some(0));
+    let shown: Value = serde_json::from_slice(&lanespan(&["config", "show", path]).stdout).expect("JSON");
+    assert_eq!((&shown["pool"]["links"], &shown["streaming"]), (&json!(256), &Value::Null));
+    let mut command = told_by(path.as_ref());
+    // Ports of the system's, with nobody behind the others.
+    command.env("NODE_LISTEN", "127.0.0.1:0").env("NODE_DISCOVERY", "127.0.0.1:1");
+    let mut node = Node::spawn(command);
+    let told =
+        node.client().ask(&request("look", 4000).replace("look", "lookup").replace("spread=2", "spread=1"));
+    assert_eq!(told.status(), 429, "{told:?}");
+    assert!(node.wait_for_line("discovery").contains("WARN"), "it says why");
+    node.signal("TERM");
+    assert_eq!(node.ended(), Some(0));
+}
+
+#[test]
+fn a_port_in_use_is_a_failure_in_one_line() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = taken.local_addr().expect("bound");
+    let config = with("listen", json!(address));
+    let done = program(&config.to_string()).output().expect("it runs");
+    let told = text(done.stderr);
+    assert_eq!(done.status.code(), Some(1), "{told}");
+    let told: Vec<&str> = told.lines().filter(|line| line.starts_with("lanespan: ")).collect();
+    assert!(told.len() == 1 && told[0].contains(&address.to_string()), "{told:?}");
+}
+
+#[test]
+fn sighup_names_what_needs_a_restart() {
+    let (discovery, counter) = (Discovery::start(""), counter());
+    let first = config(discovery.stub.address, counter.address);
+    let path = file(&first);
+    let node = Node::spawn(told_by(&path));
+    let mut second: Value = serde_json::from_str(&first).expect("JSON");
+    second["limits"]["sockets"] = json!(512);
+    second["settings"]["balancers"] = json!(3);
+    second["pool"] = json!({"wait_ms": 20});
+    std::fs::write(&path, second.to_string()).expect("written");
+    node.signal("HUP");
+    let line = node.wait_for_line("needs a restart");
+    assert!(line.contains("limits, settings") && !line.contains("pool"), "{line}");
+}
--- a/crates/lanespan/tests/relay.rs
+++ b/crates/lanespan/tests/relay.rs
@@ -279,7 +279,7 @@
             .replace("\"memory_mb\":192", "\"memory_mb\":32");
         let done = program(&config).output().expect("it runs");
         let told = String::from_utf8(done.stderr).expect("text");
-        assert_eq!((done.status.code(), told.lines().count()), (Some(1), 1), "{told}");
+        assert_eq!((done.status.code(), told.lines().count()), (Some(2), 1), "{told}");
         assert!(told.contains(line), "{line}: {told}");
     }
 }
--- a/crates/lanespan/tests/sockets/main.rs
+++ b/crates/lanespan/tests/sockets/main.rs
@@ -313,12 +313,15 @@
 fn a_bad_configuration_is_one_plain_line() {
     let good = config("127.0.0.1:1".parse().unwrap(), "127.0.0.1:1".parse().unwrap());
     for (bad, named) in [
-        (String::new(), "config"),
+        (String::new(), "empty"),
         (good.replace("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"xyz\""), "seed"),
         (good.replace("\"balancers\":2", "\"balancers\":0"), "gateways"),
         (good.replace("\"deadline\":8000000", "\"deadline\":-1"), "classes.1.deadline"),
         (good.replace("\"counter\":\"127.0.0.1:1\",", ""), "counter"),
-        (good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"nowhere\""), "socket address"),
+        (
+            good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"nowhere\""),
+            "expected an address and a port, found \"nowhere\"",
+        ),
         (with_pool(&good, r#"{"linkz":3}"#), "pool.linkz: unknown"),
         (with_pool(&good, r#"{"links":0}"#), "pool.links: expected a whole number from 1"),
         (with_pool(&good, r#"{"backend_least":9,"backend_most":3}"#), "pool.backend_least: 9 is over"),
@@ -326,7 +329,7 @@
     ] {
         let done = program(&bad).output().expect("it runs");
         let told = String::from_utf8(done.stderr).expect("text");
-        assert_eq!(done.status.code(), Some(1), "{told}");
+        assert_eq!(done.status.code(), Some(2), "{told}");
         assert!(told.lines().count() == 1 && told.contains(named), "{named}: {told}");
     }
 }
@@ -400,7 +403,7 @@
     let counter = counter();
     let inner = program(&config(discovery.stub.address, counter.address));
     let mut command = std::process::Command::new("/bin/sh");
-    command.args(["-c", &format!("ulimit -n 24; exec {}", env!("CARGO_BIN_EXE_lanespan"))]);
+    command.args(["-c", &format!("ulimit -n 24; exec {} run", env!("CARGO_BIN_EXE_lanespan"))]);
     command.envs(inner.get_envs().filter_map(|(k, v)| Some((k, v?)))).stderr(std::process::Stdio::piped());
     let node = Node::spawn(command);
     node.wait_ready();
--- a/crates/lanespan/tests/sockets/world.rs
+++ b/crates/lanespan/tests/sockets/world.rs
@@ -46,7 +46,7 @@
 /// The program, told to read this file.
 pub fn told_by(path: &Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_lanespan"));
-    command.env("NODE_CONFIG", path).env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY");
+    command.arg("run").env("NODE_CONFIG", path).env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY");
     command.stderr(Stdio::piped());
     command
 }
