Operators' door: metrics, health and state, and `lanespan status`

Need: counters were log lines, and nothing told from outside what a gateway holds of its backends, counter and streams.

Change: an `admin` section opens a listener of its own with bounds of its own (connections, time, size, pace); without it nothing is kept or opened. Series are made at the start from classes, plans and outcomes (prometheus-client), so that customers make none. `Gateway::look` shows the module's mind and decides nothing, so `policy` does not name it.

--- /dev/null
+++ b/crates/gateway/src/admin.rs
@@ -0,0 +1,111 @@
+//! The operators' door: `/metrics`, `/healthz`, `/readyz` and `/debug/state`, on an address of its own. It has bounds
+//! of its own, and answers one call a connection at a pace, so that its clients can't slow requests.
+
+use crate::config::document::AdminSection;
+use crate::driver::{Inbox, Input, Seen};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, Semaphore};
+use tokio::time::{sleep, timeout};
+use tracing::warn;
+
+/// The gap between two connections that are taken: fifty a second at most.
+const GAP: Duration = Duration::from_millis(20);
+/// The longest head of a call.
+const MAX_HEAD: usize = 8 * 1024;
+
+/// Serves operators for ever.
+pub async fn serve(listener: TcpListener, set: AdminSection, inbox: Inbox) {
+    let (places, longest) = (Rc::new(Semaphore::new(set.connections.get())), set.timeout_ms.ms());
+    loop {
+        let accepted = listener.accept().await;
+        // One that finds no place is closed at once.
+        match (accepted, Place::of(&places)) {
+            (Ok((stream, _)), Some(place)) => {
+                let inbox = inbox.clone();
+                tokio::task::spawn_local(async move {
+                    let _place = place;
+                    // It may drip, or never read.
+                    let _ = timeout(longest, one_call(stream, inbox)).await;
+                });
+            }
+            (Ok(_), None) => {}
+            (Err(error), _) => warn!(%error, "the operators' door: accept failed"),
+        }
+        sleep(GAP).await;
+    }
+}
+
+/// A place among the connections, given back when it is dropped.
+struct Place(Rc<Semaphore>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.add_permits(1);
+    }
+}
+
+impl Place {
+    fn of(places: &Rc<Semaphore>) -> Option<Place> {
+        places.try_acquire().ok()?.forget();
+        Some(Place(places.clone()))
+    }
+}
+
+async fn one_call(stream: TcpStream, inbox: Inbox) {
+    let service = service_fn(|request| {
+        let inbox = inbox.clone();
+        async move { Ok::<_, Infallible>(answer(&request, &inbox).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .keep_alive(false)
+        .max_buf_size(MAX_HEAD)
+        .serve_connection(TokioIo::new(stream), service);
+    // Whoever breaks off hears nothing.
+    let _ = connection.await;
+}
+
+async fn answer(request: &Request<Incoming>, inbox: &Inbox) -> Response<Full<Bytes>> {
+    let (status, kind, text) = match (request.method(), request.uri().path()) {
+        (&Method::GET, path @ ("/metrics" | "/healthz" | "/readyz" | "/debug/state")) => {
+            match look(inbox, path == "/debug/state").await {
+                Some(seen) => match path {
+                    "/metrics" => (StatusCode::OK, METRICS, seen.metrics),
+                    "/healthz" => (StatusCode::OK, TEXT, "alive\n".to_string()),
+                    "/readyz" if seen.ready => (StatusCode::OK, TEXT, "ready\n".to_string()),
+                    "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, TEXT, "not ready\n".to_string()),
+                    _ => (StatusCode::OK, JSON, format!("{}\n", seen.state)),
+                },
+                None => (StatusCode::SERVICE_UNAVAILABLE, TEXT, "the driver ended\n".to_string()),
+            }
+        }
+        (&Method::GET, _) => (StatusCode::NOT_FOUND, TEXT, "no such path\n".to_string()),
+        _ => (StatusCode::METHOD_NOT_ALLOWED, TEXT, "only GET\n".to_string()),
+    };
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
+
+const METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+const TEXT: &str = "text/plain; charset=utf-8";
+const JSON: &str = "application/json";
+
+/// What the driver sees, told between two turns of its.
+async fn look(inbox: &Inbox, state: bool) -> Option<Seen> {
+    let (tell, told) = oneshot::channel();
+    inbox.send(Input::Look(state, tell)).await.ok()?;
+    told.await.ok()
+}
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -6,7 +6,7 @@
 use super::config_error::ConfigError;
 use super::pool::{Around, PoolSettings};
 use super::relay::StreamSettings;
-use document::Document;
+use document::{AdminSection, Document};
 use lanespan_settings::{flatten, Fields, Site};
 use serde::Deserialize;
 use serde_json::Value;
@@ -92,7 +92,7 @@
 /// A file is read up to this length. Guards memory against one that is no configuration.
 const LONGEST: u64 = 32 << 20;
 /// What SIGHUP can't change; named in the log where a new file asks for it.
-const FIXED: [&str; 4] = ["name", "listen", "limits", "settings"];
+const FIXED: [&str; 5] = ["name", "listen", "limits", "admin", "settings"];
 
 /// Where a configuration is read, and what the environment says of it, which goes before the file.
 #[derive(Debug, Clone, Default)]
@@ -162,6 +162,7 @@
     pub(crate) memory: usize,
     /// An attempt's connection must be made within this.
     pub(crate) dial_timeout: Duration,
+    pub(crate) admin: Option<AdminSection>,
     /// As it stood in the file.
     told: Value,
 }
@@ -196,6 +197,11 @@
         Upstreams { discovery, counter, pool, streaming }
     }
 
+    /// Where operators reach it.
+    pub fn admin(&self) -> Option<SocketAddr> {
+        self.admin.as_ref().map(|admin| admin.listen)
+    }
+
     /// What takes effect with the next start only, as it stood in the file.
     pub fn fixed(&self) -> Vec<(&'static str, Value)> {
         FIXED.into_iter().map(|key| (key, self.told.get(key).cloned().unwrap_or_default())).collect()
@@ -231,6 +237,7 @@
                 "warm_up": pool.warm_up, "warm_per_s": pool.warm_per_s, "warm_burst": pool.warm_burst,
             },
             "streaming": streaming,
+            "admin": self.admin.as_ref().map(|admin| admin.listen),
             "settings": self.told.get("settings"),
         })
     }
@@ -299,6 +306,7 @@
                 streaming,
                 memory,
                 dial_timeout,
+                admin: document.admin,
                 told,
             }),
             _ => Err(problems.into()),
--- a/crates/gateway/src/config/document.rs
+++ b/crates/gateway/src/config/document.rs
@@ -75,12 +75,14 @@
     pub pool: PoolSection,
     /// Long answers and uploads. Absent: bodies are collected whole, 64 KiB at most.
     pub streaming: Option<StreamingSection>,
+    /// The operators' door: metrics, health and state. Absent: closed.
+    pub admin: Option<AdminSection>,
     /// The site: classes, plans, zones and bounds, with the names that the simulator gives them.
     pub settings: Value,
 }
 
 /// The keys of the sections.
-pub const SECTIONS: [&str; 5] = ["limits", "known", "pool", "streaming", "settings"];
+pub const SECTIONS: [&str; 6] = ["limits", "known", "pool", "streaming", "admin", "settings"];
 
 /// What the machine bears.
 #[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema)]
@@ -162,6 +164,25 @@
     }
 }
 
+/// The operators' door, on an address that only they reach.
+#[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct AdminSection {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Connections at once; further ones are closed.
+    pub connections: Whole<64>,
+    /// How long one may take, its client's reading included.
+    pub timeout_ms: Span,
+}
+
+impl Default for AdminSection {
+    fn default() -> AdminSection {
+        let listen = SocketAddr::from(([127, 0, 0, 1], 9901));
+        AdminSection { listen, connections: Whole(8), timeout_ms: Whole(2_000) }
+    }
+}
+
 /// The JSON schema of the file.
 pub fn schema() -> Value {
     schemars::schema_for!(Document).to_value()
@@ -171,7 +192,12 @@
 pub fn reference() -> String {
     let schema = schema();
     let mut text = table(&schema, "");
-    for (name, key) in [("Limits", "limits"), ("PoolSection", "pool"), ("StreamingSection", "streaming")] {
+    for (name, key) in [
+        ("Limits", "limits"),
+        ("PoolSection", "pool"),
+        ("StreamingSection", "streaming"),
+        ("AdminSection", "admin"),
+    ] {
         let section = &schema["$defs"][name];
         let about = section["description"].as_str().unwrap_or_default();
         text.push_str(&format!("\n## `{key}`\n\n{about}\n\n{}", table(section, key)));
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -5,11 +5,13 @@
 use super::config::{Config, MemberList, Phase, Upstreams};
 use super::config_error::ConfigError;
 use super::counter::{Counted, Counter, Order};
+use super::metrics::{Final, Metrics, Now};
 use super::pool::{Backend, Pool};
 use super::relay::{Relays, Served};
 use lanespan_policy::api::*;
 use lanespan_policy::rules::Gateway;
 use lanespan_settings::Site;
+use serde_json::{json, Value};
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
@@ -65,7 +67,7 @@
     /// The counter is somewhere else.
     Counter(Option<SocketAddr>),
     /// A call to the counter ended.
-    Counted(CountName, u64, Counted),
+    Counted(CountName, u64, Counted, Micros),
     /// An attempt ended, or its answer is the client's from here on: its request, number and backend, how, and how
     /// long it was out.
     Ended(RequestId, usize, ServerId, Ended, Micros),
@@ -73,8 +75,23 @@
     Bound(RequestId, usize),
     /// The answer of an attempt that was the client's already ended.
     Over(RequestId, usize, Outcome),
+    /// An operator looks, at the state where that is asked for.
+    Look(bool, oneshot::Sender<Seen>),
 }
 
+/// What an operator sees.
+pub struct Seen {
+    /// The list of backends is in hand.
+    pub ready: bool,
+    /// The figures, as text.
+    pub metrics: String,
+    /// The state.
+    pub state: Value,
+}
+
+/// As many backends are shown.
+const SHOWN: usize = 1_000;
+
 /// The clock of the module: Unix time, which all gateways share, but never going back.
 #[derive(Clone, Copy)]
 pub struct Clock {
@@ -106,6 +123,8 @@
     reply: Option<oneshot::Sender<Answer>>,
     forward: Rc<Forward>,
     attempts: Vec<Attempt>,
+    /// Its class, plan and when it came, for the figures.
+    came: (ClassId, PlanId, Micros),
 }
 
 struct Attempt {
@@ -168,13 +187,19 @@
     ready: Rc<Cell<bool>>,
     /// When the list known from before is taken for it.
     ready_at: Option<Instant>,
+    /// The figures, where there is a door to see them by.
+    metrics: Option<Metrics>,
+    breaker_open: bool,
+    listed_at: Option<Instant>,
 }
 
 impl Driver {
     /// A driver that knows nothing yet but the configuration.
     pub fn new(config: Config, clock: Clock, ready: Rc<Cell<bool>>) -> Result<Driver, ConfigError> {
-        let Config { site, counter, sockets, seed, known, dial_timeout, pool, streaming, memory, .. } =
-            config;
+        let Config {
+            site, counter, sockets, seed, known, dial_timeout, pool, streaming, memory, admin, ..
+        } = config;
+        let metrics = admin.map(|_| Metrics::new(&site));
         let must_subscribe = site.settings.must_subscribe;
         let gateway = Gateway::new(seed, site.settings.clone()).map_err(ConfigError::from)?;
         let (inbox, inputs) = mpsc::channel(INBOX);
@@ -200,6 +225,9 @@
             actions: Vec::new(),
             ready,
             ready_at: None,
+            metrics,
+            breaker_open: false,
+            listed_at: None,
         };
         // It may be old, but it is what there is until discovery speaks, which is waited for a little.
         if !known.members.is_empty() {
@@ -290,6 +318,7 @@
             ended.into_iter().for_each(|id| self.tidy(id));
         }
         self.actions = actions;
+        self.watch_breaker();
     }
 
     /// Translates what came in to an event of the module's.
@@ -297,17 +326,22 @@
         match input {
             Input::Taken(taken) => {
                 let Taken { arrival, forward, reply } = *taken;
-                let open = Open { reply: Some(reply), forward: Rc::new(forward), attempts: Vec::new() };
+                let came = (arrival.class, arrival.plan, self.clock.now());
+                let (forward, attempts) = (Rc::new(forward), Vec::new());
+                let open = Open { reply: Some(reply), forward, attempts, came };
                 self.requests.insert(arrival.id, open);
                 self.batch.push(Event::Request(arrival));
             }
             Input::Gone(id) => {
                 if let Some(open) = self.requests.get_mut(&id).filter(|open| open.reply.is_some()) {
                     open.reply = None;
+                    let came = open.came;
                     self.batch.push(Event::ClientGone(id));
+                    self.note(came, Final::Gone);
                 }
             }
             Input::Members(list) => {
+                self.listed_at = Some(Instant::now());
                 self.members(list);
                 self.become_ready();
             }
@@ -318,7 +352,8 @@
                     self.counter = address.map(&self.counter_at);
                 }
             }
-            Input::Counted(name, serial, counted) => {
+            Input::Counted(name, serial, counted, took) => {
+                self.metrics.iter().for_each(|metrics| metrics.call(counted.outcome, took));
                 let ready = self.order.answered(name, serial, counted);
                 self.batch.extend(ready.into_iter().map(|c| Event::Counted(name, c.outcome, c.total)));
             }
@@ -333,13 +368,21 @@
                         self.batch.push(Event::StreamStarted(id, attempt));
                     }
                     let _ = reply.send(Answer::Served(body));
-                    if a.begun.is_some() {
+                    let (begun, came) = (a.begun.is_some(), open.came);
+                    self.note(came, Final::Served);
+                    if begun {
                         return;
                     }
                 }
+                let open = self.requests.get_mut(&id);
+                let Some(a) = open.and_then(|open| open.attempts.get_mut(attempt)) else { return };
                 a.out = false;
                 self.ended(id, attempt, server, ended.outcome, ended.report, took);
             }
+            Input::Look(state, tell) => {
+                // Who has gone hears nothing.
+                let _ = tell.send(self.seen(state));
+            }
             Input::Bound(id, attempt) => {
                 if self.requests.get(&id).is_some_and(|open| open.reply.is_some()) {
                     self.batch.push(Event::UploadBound(id, attempt));
@@ -366,6 +409,7 @@
         report: Report,
         took: Micros,
     ) {
+        self.metrics.iter().for_each(|metrics| metrics.attempt(outcome));
         let ended = self.requests.get(&id).is_none_or(|open| open.reply.is_none());
         let end = AttemptEnd { id, attempt, server, outcome, took, ended, settled: None, report };
         self.batch.push(Event::AttemptEnded(end));
@@ -442,13 +486,71 @@
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
-        if let Some(reply) = self.requests.get_mut(&id).and_then(|open| open.reply.take()) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        if let Some(reply) = open.reply.take() {
+            let (came, refused) = (open.came, matches!(answer, Answer::Refused(_)));
             // A client that has just gone needs no answer.
             let _ = reply.send(answer);
             self.tidy(id);
+            self.note(came, if refused { Final::Refused } else { Final::Failed });
         }
     }
 
+    /// A request has its end.
+    fn note(&self, (class, plan, at): (ClassId, PlanId, Micros), got: Final) {
+        self.metrics.iter().for_each(|metrics| metrics.request(class, plan, got, self.clock.now() - at));
+    }
+
+    /// Counts the changes of the breaker.
+    fn watch_breaker(&mut self) {
+        if let Some(metrics) = &self.metrics {
+            let open = self.gateway.look().breaker_open;
+            if std::mem::replace(&mut self.breaker_open, open) != open {
+                metrics.breaker_changed();
+            }
+        }
+    }
+
+    /// What an operator sees.
+    fn seen(&self, with_state: bool) -> Seen {
+        let look = self.gateway.look();
+        let now = Now {
+            look: &look,
+            pool: &self.pool,
+            relays: &self.relays,
+            open: self.requests.len(),
+            backends: self.backends.len(),
+            discovery_age: self.listed_at.map(|at| at.elapsed().as_secs_f64()),
+            ready: self.ready.get(),
+        };
+        let state = if with_state { self.state(&now) } else { Value::Null };
+        let metrics = self.metrics.as_ref().filter(|_| !with_state).map(|metrics| metrics.text(&now));
+        Seen { ready: now.ready, metrics: metrics.unwrap_or_default(), state }
+    }
+
+    fn state(&self, now: &Now) -> Value {
+        let backends = self.gateway.look_at_servers().take(SHOWN).map(|s| {
+            let address = self.backends.get(&s.server).map(|backend| backend.address);
+            json!({
+                "id": self.site.servers.get(&s.server), "address": address, "listed": s.listed, "out": s.out,
+                "streams": s.streams, "limit": s.limit, "fail_share": s.fail_share,
+                "latency_us": s.latency.0, "ejected": s.ejected, "cold": s.cold,
+            })
+        });
+        let (look, gauges) = (now.look, self.pool.gauges());
+        json!({
+            "ready": now.ready, "discovery_age_s": now.discovery_age,
+            "counter": { "breaker_open": look.breaker_open, "ask_share": look.ask_share },
+            "pass_share": look.pass, "customers": look.customers, "requests_open": now.open,
+            "requests_held": look.held, "stream_bytes_reserved": now.relays.reserved(),
+            "pool": {
+                "idle": gauges.idle, "in_use": gauges.in_use, "dialling": gauges.dialling,
+                "waiting": gauges.waiting,
+            },
+            "backends_known": self.backends.len(), "backends": backends.collect::<Vec<_>>(),
+        })
+    }
+
     fn tidy(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(Open::over) {
             self.requests.remove(&id);
@@ -499,12 +601,14 @@
     fn count(&mut self, name: CountName, amount: f64, life: Micros) {
         let serial = self.order.made(name);
         let (counter, inbox) = (self.counter.clone(), self.inbox.clone());
+        let clock = self.clock;
         tokio::task::spawn_local(async move {
+            let made = clock.now();
             let counted = match counter {
                 Some(counter) => counter.add(name, amount, life).await,
                 None => Outcome::ConnectFailed.into(),
             };
-            let _ = inbox.send(Input::Counted(name, serial, counted)).await;
+            let _ = inbox.send(Input::Counted(name, serial, counted, clock.now() - made)).await;
         });
     }
 }
@@ -625,7 +729,8 @@
             let (method, uri) = (Method::GET, "/".parse().expect("a path"));
             let body = Payload::Whole(bytes::Bytes::new());
             let forward = Rc::new(Forward { method, uri, headers: HeaderMap::new(), body });
-            driver.requests.insert(id, Open { reply: Some(reply), forward, attempts });
+            let came = (ClassId(0), PlanId(0), Micros(0));
+            driver.requests.insert(id, Open { reply: Some(reply), forward, attempts, came });
             assert!(copies.iter().all(|copy| matches!(copy.body, Some(Served::Long(_)))));
             let over: Vec<_> = copies.iter_mut().filter_map(|copy| copy.over.take()).collect();
             for (number, copy) in copies.into_iter().enumerate() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,5 +1,6 @@
 //! The real gateway: the decision module on sockets.
 
+mod admin;
 pub mod backend;
 pub mod backoff;
 pub mod config;
@@ -9,6 +10,7 @@
 pub mod driver;
 mod framing;
 pub mod http;
+mod metrics;
 pub mod pool;
 pub mod relay;
 pub mod server;
@@ -76,9 +78,16 @@
     let backoff = Backoff::new(config.seed, if asks { gateways } else { 0 });
     let held = (asks && !config.known.members.is_empty()).then_some(config.known.revision);
     let bodies = config.memory / BODIES_PART;
+    let admin = config.admin.clone();
     let driver = Driver::new(config, clock, ready.clone()).map_err(RunError::Config)?;
     let (inbox, pool, relays) = (driver.inbox(), driver.pool(), driver.relays());
     let listener = TcpListener::bind(listen).await.map_err(|e| RunError::Listen(listen, e))?;
+    if let Some(set) = admin {
+        let failed = |e| RunError::Listen(set.listen, e);
+        let door = TcpListener::bind(set.listen).await.map_err(failed)?;
+        info!(address = %door.local_addr().map_err(failed)?, "the operators' door is open");
+        tokio::task::spawn_local(admin::serve(door, set, inbox.clone()));
+    }
     let address = listener.local_addr().map_err(|e| RunError::Listen(listen, e))?;
     info!(name, %address, "listening");
     tokio::task::spawn_local(discovery::watch(upstreams.clone(), inbox.clone(), backoff, held));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -97,6 +97,11 @@
         self.last.get()
     }
 
+    /// What the streams under way may hold, in bytes.
+    pub fn reserved(&self) -> usize {
+        self.most - self.room.available_permits()
+    }
+
     /// Keeps to new bounds, the memory aside.
     pub fn configure(&self, set: Option<StreamSettings>) {
         self.set.set(set);
--- a/crates/lanespan/benches/relay.rs
+++ b/crates/lanespan/benches/relay.rs
@@ -3,10 +3,12 @@
 //! prints a row each. The backend and the clients are threads of this program, and not counted.
 #[path = "../tests/sockets/bodies.rs"]
 mod bodies;
+mod process;
 #[path = "../tests/sockets/world.rs"]
 mod world;
 
 use bodies::{answer, body, head, upload_head, Raw, MIB};
+use process::{cpu, memory};
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use world::*;
@@ -14,8 +16,6 @@
 const KIB: usize = 1 << 10;
 const ROUNDS: usize = 5;
 const CLIENTS: usize = 2;
-/// The kernel's unit of CPU time in /proc, in seconds.
-const TICK: f64 = 0.01;
 
 /// Which way the long bodies go.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -58,21 +58,6 @@
     (discovery, counter, node)
 }
 
-/// Seconds of CPU that a process had, to a hundredth.
-fn cpu(node: &Node) -> f64 {
-    let stat = std::fs::read_to_string(format!("/proc/{}/stat", node.child.id())).expect("it runs");
-    let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
-    let ticks = |i: usize| fields.get(i).and_then(|t| t.parse::<f64>().ok()).expect("a number");
-    (ticks(11) + ticks(12)) * TICK
-}
-
-/// Its memory now, in MiB.
-fn memory(node: &Node) -> f64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", node.child.id())).expect("it runs");
-    let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("a figure");
-    line.split_whitespace().nth(1).and_then(|kb| kb.parse::<f64>().ok()).expect("a number") / 1024.0
-}
-
 /// Asks and reads the head; returns the length of the body.
 fn ask(client: &mut Client, number: usize) -> usize {
     client.send(&request("look", 4000).replace("9b1f03aa", &format!("{number:08x}")));
--- a/crates/lanespan/src/cli.rs
+++ b/crates/lanespan/src/cli.rs
@@ -31,6 +31,10 @@
     /// Check, show and explain configuration files
     #[command(subcommand)]
     Config(ConfigCommand),
+    /// Ask a running gateway how it is, through its admin address
+    #[command(after_help = "Examples:\n  lanespan status --admin 127.0.0.1:9901\n  \
+        lanespan status --config lanespan.toml --json")]
+    Status(Status),
     /// Print a shell's completions
     #[command(after_help = "Example:\n  lanespan completions bash > /etc/bash_completion.d/lanespan")]
     Completions {
@@ -69,6 +73,32 @@
     pub config: PathBuf,
 }
 
+#[derive(Args)]
+pub struct Status {
+    /// The gateway's admin address
+    #[arg(long, value_name = "ADDRESS", required_unless_present = "config")]
+    pub admin: Option<SocketAddr>,
+    /// Its configuration, which names the address
+    #[arg(long, value_name = "FILE", env = "NODE_CONFIG")]
+    pub config: Option<PathBuf>,
+    /// Print JSON for programs
+    #[arg(long)]
+    pub json: bool,
+}
+
+impl Status {
+    /// The address to ask.
+    pub fn door(&self) -> Result<SocketAddr, Vec<String>> {
+        if let Some(admin) = self.admin {
+            return Ok(admin);
+        }
+        let path = self.config.clone().unwrap_or_default();
+        let source = source(path.clone()).map_err(|problem| vec![problem])?;
+        let config = source.read().map_err(|error| error.lines().to_vec())?;
+        config.admin().ok_or_else(|| vec![format!("{}: admin: there is no such section", path.display())])
+    }
+}
+
 impl From<RunFile> for Result<Source, String> {
     fn from(file: RunFile) -> Self {
         source(file.config)
--- a/crates/lanespan/src/main.rs
+++ b/crates/lanespan/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod run;
+mod status;
 
 use clap::Parser;
 use cli::{Command, ConfigCommand, Lanespan};
@@ -29,6 +30,17 @@
         Command::Config(ConfigCommand::Example) => print(EXAMPLE),
         Command::Config(ConfigCommand::Schema) => print(&format!("{:#}\n", document::schema())),
         Command::Config(ConfigCommand::Reference) => print(&document::reference()),
+        Command::Status(asked) => match asked.door() {
+            Ok(door) => match status::ask(door) {
+                Ok(state) if asked.json => print(&format!("{state:#}\n")),
+                Ok(state) => print(&status::table(&state)),
+                Err(problem) => {
+                    eprintln!("lanespan: {problem}");
+                    ExitCode::FAILURE
+                }
+            },
+            Err(problems) => wrong(&problems),
+        },
         Command::Completions { shell } => print(&cli::completions(shell)),
     }
 }
--- a/crates/lanespan/tests/command.rs
+++ b/crates/lanespan/tests/command.rs
@@ -58,8 +58,12 @@
     let schema = lanespan(&["config", "schema"]);
     let schema: Value = serde_json::from_slice(&schema.stdout).expect("JSON");
     let mut seen = 0;
-    for (section, place) in [("Limits", "limits"), ("PoolSection", "pool"), ("StreamingSection", "streaming")]
-    {
+    for (section, place) in [
+        ("Limits", "limits"),
+        ("PoolSection", "pool"),
+        ("StreamingSection", "streaming"),
+        ("AdminSection", "admin"),
+    ] {
         let keys = schema["$defs"][section]["properties"].as_object().expect("keys");
         for key in keys.keys() {
             let path = format!("{place}.{key}");
@@ -70,8 +74,10 @@
             seen += 1;
         }
     }
-    assert_eq!(seen, 3 + 14 + 5);
-    for key in ["listen", "discovery", "counter", "seed", "name", "limits", "pool", "streaming", "known"] {
+    assert_eq!(seen, 3 + 14 + 5 + 3);
+    for key in
+        ["listen", "discovery", "counter", "seed", "name", "limits", "pool", "streaming", "admin", "known"]
+    {
         let (code, told) = check(&with(key, json!(7)).to_string());
         assert_eq!((code, told.len()), (Some(2), 1), "{key}: {told:?}");
         assert!(told[0].starts_with(&format!("{key}: ")) && told[0].ends_with("found 7"), "{told:?}");
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -312,8 +312,8 @@
     Timer(TimerId),
     /// The answer of this attempt has started to flow; the request is the client's now.
     StreamStarted(RequestId, usize),
-    /// The start of an upload that this attempt carries can't be sent again. The time that is left now holds for
-    /// the transfer, which ends by itself.
+    /// The start of an upload that this attempt carries can't be sent again. From here on no deadline holds; the
+    /// transfer ends by itself.
     UploadBound(RequestId, usize),
     /// The client is gone.
     ClientGone(RequestId),
--- a/crates/policy/src/rules/admission.rs
+++ b/crates/policy/src/rules/admission.rs
@@ -1,5 +1,5 @@
-//! Admission: whether a request may go on, by its customer's shared count, or by the local bucket where that is
-//! silent.
+//! Admission: whether a request may go on, by its customer's shared count, or by the local bucket where that
+//! is silent.
 
 use super::*;
 
