--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -1,7 +1,7 @@
 //! Every decision of a gateway. What it is told and what it may do stands in `api`.
 //!
 //! Here is what it keeps and where events come in. A file each has admission, the life of a request, the
-//! choice of a server, what is made of servers, and the guards of the rules; `look` is what operators may see.
+//! choice of a server, what is made of servers, and the guards of the rules. `look` is for operators.
 
 mod admission;
 mod attempts;
