Door: health checks encode no figures, and no clock is read for closed figures

Change: an operator's look names what it is at, and only that is made. The time of a request is the one that its deadline is reckoned from, and of a call the turn that made it, as for attempts: no reading of their own, so the figures hold the way to the driver as well. cli::source and problems::MOST serve both places.

CPU a request was not measured again.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -2,7 +2,7 @@
 //! of its own, and answers one call a connection at a pace, so that its clients can't slow requests.
 
 use crate::config::document::AdminSection;
-use crate::driver::{Inbox, Input, Seen};
+use crate::driver::{Inbox, Input, Seen, View};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -77,21 +77,27 @@
 }
 
 async fn answer(request: &Request<Incoming>, inbox: &Inbox) -> Response<Full<Bytes>> {
-    let (status, kind, text) = match (request.method(), request.uri().path()) {
-        (&Method::GET, path @ ("/metrics" | "/healthz" | "/readyz" | "/debug/state")) => {
-            match look(inbox, path == "/debug/state").await {
-                Some(seen) => match path {
-                    "/metrics" => (StatusCode::OK, METRICS, seen.metrics),
-                    "/healthz" => (StatusCode::OK, TEXT, "alive\n".to_string()),
-                    "/readyz" if seen.ready => (StatusCode::OK, TEXT, "ready\n".to_string()),
-                    "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, TEXT, "not ready\n".to_string()),
-                    _ => (StatusCode::OK, JSON, format!("{}\n", seen.state)),
-                },
-                None => (StatusCode::SERVICE_UNAVAILABLE, TEXT, "the driver ended\n".to_string()),
-            }
+    let view = match request.uri().path() {
+        "/metrics" => Some(View::Metrics),
+        "/healthz" | "/readyz" => Some(View::Ready),
+        "/debug/state" => Some(View::State),
+        _ => None,
+    };
+    let (status, kind, text) = match view {
+        _ if request.method() != Method::GET => {
+            (StatusCode::METHOD_NOT_ALLOWED, TEXT, "only GET\n".to_string())
         }
-        (&Method::GET, _) => (StatusCode::NOT_FOUND, TEXT, "no such path\n".to_string()),
-        _ => (StatusCode::METHOD_NOT_ALLOWED, TEXT, "only GET\n".to_string()),
+        None => (StatusCode::NOT_FOUND, TEXT, "no such path\n".to_string()),
+        Some(view) => match look(inbox, view).await {
+            Some(Seen::Metrics(text)) => (StatusCode::OK, METRICS, text),
+            Some(Seen::State(state)) => (StatusCode::OK, JSON, format!("{state}\n")),
+            Some(Seen::Ready(_)) if request.uri().path() == "/healthz" => {
+                (StatusCode::OK, TEXT, "alive\n".to_string())
+            }
+            Some(Seen::Ready(true)) => (StatusCode::OK, TEXT, "ready\n".to_string()),
+            Some(Seen::Ready(false)) => (StatusCode::SERVICE_UNAVAILABLE, TEXT, "not ready\n".to_string()),
+            None => (StatusCode::SERVICE_UNAVAILABLE, TEXT, "the driver ended\n".to_string()),
+        },
     };
     let mut response = Response::new(Full::new(text.into()));
     *response.status_mut() = status;
@@ -104,8 +110,8 @@
 const JSON: &str = "application/json";
 
 /// What the driver sees, told between two turns of its.
-async fn look(inbox: &Inbox, state: bool) -> Option<Seen> {
+async fn look(inbox: &Inbox, view: View) -> Option<Seen> {
     let (tell, told) = oneshot::channel();
-    inbox.send(Input::Look(state, tell)).await.ok()?;
+    inbox.send(Input::Look(view, tell)).await.ok()?;
     told.await.ok()
 }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -335,11 +335,11 @@
 
 impl Place {
     /// Reads the settings. What can't be read is told and left out, as long as it may be absent.
-    fn read(settings: &Value, problems: &mut Vec<String>) -> Option<Place> {
+    fn read(settings: &Value, told: &mut Vec<String>) -> Option<Place> {
         let mut names = BTreeMap::new();
         flatten("", settings, &mut names);
         let mut left_out = Vec::new();
-        while problems.len() < MOST_PROBLEMS {
+        while told.len() < problems::MOST {
             let pairs = names.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
             let error = match Place::of(&Fields { place: "settings".into(), message: "settings", pairs }) {
                 Ok(place) => return Some(place),
@@ -351,7 +351,7 @@
             if left_out.contains(&wrong) {
                 return None;
             }
-            problems.push(error);
+            told.push(error);
             names.remove(&wrong)?;
             left_out.push(wrong);
         }
@@ -369,6 +369,3 @@
         Ok(Place { site, dial_timeout, conn_idle: span("bounds.conn_idle", 15_000_000)? })
     }
 }
-
-/// As many problems of the settings are told.
-const MOST_PROBLEMS: usize = 100;
--- a/crates/gateway/src/config/problems.rs
+++ b/crates/gateway/src/config/problems.rs
@@ -5,7 +5,7 @@
 use serde_path_to_error::{Path, Segment};
 
 /// As many problems are told. Guards against a file that is nothing but problems.
-const MOST: usize = 100;
+pub(crate) const MOST: usize = 100;
 /// A value is shown up to so many characters.
 const SHOWN: usize = 60;
 const AN_OBJECT: &str = "expected an object";
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -50,6 +50,8 @@
 pub struct Taken {
     /// What the module is told of it. Its id is new, whatever the client called it.
     pub arrival: Arrival,
+    /// When it was taken.
+    pub at: Micros,
     /// What goes on to backends.
     pub forward: Forward,
     /// Where the answer goes.
@@ -66,7 +68,7 @@
     Members(MemberList),
     /// The counter is somewhere else.
     Counter(Option<SocketAddr>),
-    /// A call to the counter ended.
+    /// A call to the counter ended, which was made at that time.
     Counted(CountName, u64, Counted, Micros),
     /// An attempt ended, or its answer is the client's from here on: its request, number and backend, how, and how
     /// long it was out.
@@ -75,18 +77,29 @@
     Bound(RequestId, usize),
     /// The answer of an attempt that was the client's already ended.
     Over(RequestId, usize, Outcome),
-    /// An operator looks, at the state where that is asked for.
-    Look(bool, oneshot::Sender<Seen>),
+    /// An operator looks at this.
+    Look(View, oneshot::Sender<Seen>),
+}
+
+/// What an operator looks at.
+#[derive(Clone, Copy)]
+pub enum View {
+    /// Whether the list of backends is in hand.
+    Ready,
+    /// The figures.
+    Metrics,
+    /// The state.
+    State,
 }
 
 /// What an operator sees.
-pub struct Seen {
+pub enum Seen {
     /// The list of backends is in hand.
-    pub ready: bool,
+    Ready(bool),
     /// The figures, as text.
-    pub metrics: String,
+    Metrics(String),
     /// The state.
-    pub state: Value,
+    State(Value),
 }
 
 /// As many backends are shown.
@@ -325,8 +338,8 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Taken(taken) => {
-                let Taken { arrival, forward, reply } = *taken;
-                let came = (arrival.class, arrival.plan, self.clock.now());
+                let Taken { arrival, at, forward, reply } = *taken;
+                let came = (arrival.class, arrival.plan, at);
                 let (forward, attempts) = (Rc::new(forward), Vec::new());
                 let open = Open { reply: Some(reply), forward, attempts, came };
                 self.requests.insert(arrival.id, open);
@@ -352,8 +365,10 @@
                     self.counter = address.map(&self.counter_at);
                 }
             }
-            Input::Counted(name, serial, counted, took) => {
-                self.metrics.iter().for_each(|metrics| metrics.call(counted.outcome, took));
+            Input::Counted(name, serial, counted, made) => {
+                if let Some(metrics) = &self.metrics {
+                    metrics.call(counted.outcome, self.clock.now() - made);
+                }
                 let ready = self.order.answered(name, serial, counted);
                 self.batch.extend(ready.into_iter().map(|c| Event::Counted(name, c.outcome, c.total)));
             }
@@ -379,9 +394,9 @@
                 a.out = false;
                 self.ended(id, attempt, server, ended.outcome, ended.report, took);
             }
-            Input::Look(state, tell) => {
+            Input::Look(view, tell) => {
                 // Who has gone hears nothing.
-                let _ = tell.send(self.seen(state));
+                let _ = tell.send(self.seen(view));
             }
             Input::Bound(id, attempt) => {
                 if self.requests.get(&id).is_some_and(|open| open.reply.is_some()) {
@@ -478,7 +493,7 @@
                     let _ = call_off.send(());
                 }
             }
-            Action::Count(name, amount, life) => self.count(name, amount, life),
+            Action::Count(name, amount, life) => self.count(now, name, amount, life),
             Action::SetTimer(id, after) => self.timers.push(Reverse((now + after, id))),
             // Probing is not allowed here, and the watch on the list never stops.
             Action::Probe(_) | Action::Subscribe | Action::FetchList => {}
@@ -512,7 +527,7 @@
     }
 
     /// What an operator sees.
-    fn seen(&self, with_state: bool) -> Seen {
+    fn seen(&self, view: View) -> Seen {
         let look = self.gateway.look();
         let now = Now {
             look: &look,
@@ -523,9 +538,13 @@
             discovery_age: self.listed_at.map(|at| at.elapsed().as_secs_f64()),
             ready: self.ready.get(),
         };
-        let state = if with_state { self.state(&now) } else { Value::Null };
-        let metrics = self.metrics.as_ref().filter(|_| !with_state).map(|metrics| metrics.text(&now));
-        Seen { ready: now.ready, metrics: metrics.unwrap_or_default(), state }
+        match view {
+            View::Ready => Seen::Ready(now.ready),
+            View::Metrics => {
+                Seen::Metrics(self.metrics.as_ref().map(|metrics| metrics.text(&now)).unwrap_or_default())
+            }
+            View::State => Seen::State(self.state(&now)),
+        }
     }
 
     fn state(&self, now: &Now) -> Value {
@@ -598,17 +617,15 @@
         });
     }
 
-    fn count(&mut self, name: CountName, amount: f64, life: Micros) {
+    fn count(&mut self, made: Micros, name: CountName, amount: f64, life: Micros) {
         let serial = self.order.made(name);
         let (counter, inbox) = (self.counter.clone(), self.inbox.clone());
-        let clock = self.clock;
         tokio::task::spawn_local(async move {
-            let made = clock.now();
             let counted = match counter {
                 Some(counter) => counter.add(name, amount, life).await,
                 None => Outcome::ConnectFailed.into(),
             };
-            let _ = inbox.send(Input::Counted(name, serial, counted, clock.now() - made)).await;
+            let _ = inbox.send(Input::Counted(name, serial, counted, made)).await;
         });
     }
 }
--- a/crates/gateway/src/server/answering.rs
+++ b/crates/gateway/src/server/answering.rs
@@ -185,13 +185,14 @@
 ) -> Response<Body> {
     // The request's time runs from its last byte; that of an upload which can't be kept whole, as long as it goes
     // on and then from its last byte.
-    let deadline = front.clock.now() + asked.budget;
+    let at = front.clock.now();
+    let deadline = at + asked.budget;
     let id = RequestId(front.last.replace(front.last.get() + 1) + 1);
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
     let forward = Forward { method: head.method, uri: head.uri, headers, body };
     let (reply, answer) = oneshot::channel();
-    let taken = Taken { arrival: Arrival { id, deadline, ..asked.arrival }, forward, reply };
+    let taken = Taken { arrival: Arrival { id, deadline, ..asked.arrival }, at, forward, reply };
     let mut watch = Watch { inbox: &front.inbox, id, answered: false };
     let told = front.inbox.send(Input::Taken(Box::new(taken))).await.is_ok();
     let answer = tokio::select! {
--- a/crates/lanespan/src/cli.rs
+++ b/crates/lanespan/src/cli.rs
@@ -99,20 +99,8 @@
     }
 }
 
-impl From<RunFile> for Result<Source, String> {
-    fn from(file: RunFile) -> Self {
-        source(file.config)
-    }
-}
-
-impl From<File> for Result<Source, String> {
-    fn from(file: File) -> Self {
-        source(file.config)
-    }
-}
-
 /// The file with what the environment says.
-fn source(path: PathBuf) -> Result<Source, String> {
+pub fn source(path: PathBuf) -> Result<Source, String> {
     let name = std::env::var("NODE_NAME").ok();
     Ok(Source { path, name, listen: address("NODE_LISTEN")?, discovery: address("NODE_DISCOVERY")? })
 }
--- a/crates/lanespan/src/main.rs
+++ b/crates/lanespan/src/main.rs
@@ -8,6 +8,7 @@
 use cli::{Command, ConfigCommand, Lanespan};
 use lanespan_gateway::config::{document, Source};
 use std::io::Write;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// What was asked for makes no sense.
@@ -18,12 +19,12 @@
 
 fn main() -> ExitCode {
     match Lanespan::parse().command {
-        Command::Run(file) => with(&file.into(), run::run),
-        Command::Config(ConfigCommand::Check(file)) => with(&file.into(), |source| match source.read() {
+        Command::Run(file) => with(file.config, run::run),
+        Command::Config(ConfigCommand::Check(file)) => with(file.config, |source| match source.read() {
             Ok(_) => print(&format!("{}: sound\n", source.path.display())),
             Err(error) => wrong(error.lines()),
         }),
-        Command::Config(ConfigCommand::Show(file)) => with(&file.into(), |source| match source.read() {
+        Command::Config(ConfigCommand::Show(file)) => with(file.config, |source| match source.read() {
             Ok(config) => print(&format!("{:#}\n", config.shown())),
             Err(error) => wrong(error.lines()),
         }),
@@ -46,10 +47,10 @@
 }
 
 /// Does something with the file that was named.
-fn with(source: &Result<Source, String>, act: impl FnOnce(&Source) -> ExitCode) -> ExitCode {
-    match source {
-        Ok(source) => act(source),
-        Err(problem) => wrong(std::slice::from_ref(problem)),
+fn with(file: PathBuf, act: impl FnOnce(&Source) -> ExitCode) -> ExitCode {
+    match cli::source(file) {
+        Ok(source) => act(&source),
+        Err(problem) => wrong(&[problem]),
     }
 }
 
