Gateway: presence over UDP, local shares by who is present, and lanespan fleet members

A gateway knew of no other: its local bucket took 1/spread of a customer's rate whoever was gone, and operators could not ask one gateway about the rest.

What presence knows reaches the module as an input: Arrival::sharing, by how many gateways a local share is divided. The ceiling's share stays at 1/spread.

The clock can be set apart by fleet.clock_ahead_ms.

--- a/crates/fleet/src/presence.rs
+++ b/crates/fleet/src/presence.rs
@@ -493,7 +493,7 @@
                 }
             }
             Kind::Pull => self.pulled(payload)?,
-            Kind::Rows => self.rows(payload, &envelope, seen)?,
+            Kind::Rows => self.rows(payload, seen)?,
         }
         let settled = self.now >= self.changed_at + SETTLE * self.settings.probe;
         let present = sender.as_ref().and_then(|address| self.known.get(address));
@@ -547,7 +547,7 @@
     }
 
     /// Rows of another member's.
-    fn rows(&mut self, payload: &[u8], envelope: &Envelope, seen: Seen) -> Result<(), Dropped> {
+    fn rows(&mut self, payload: &[u8], seen: Seen) -> Result<(), Dropped> {
         let rows = wire::rows_of(payload).ok_or(Dropped::Malformed)?;
         if rows.iter().any(|row| sound(row.member.id()).is_err()) {
             return Err(Dropped::Malformed);
@@ -593,14 +593,6 @@
             let to = self.route(&node);
             payloads.iter().for_each(|payload| self.send(to, Kind::Rows, payload));
         }
-        // A sender that is taken for dead here does not know it.
-        let sender = self.keys.get(&envelope.from).and_then(|address| self.known.get(address));
-        if let Some(known) = sender.filter(|known| !known.standing.is_present()) {
-            let (node, to) = (known.node.clone(), self.route(&known.node));
-            let row = Row { member: Member::down(node), facts: None };
-            let payloads = wire::rows_in_payloads(std::iter::once(row));
-            payloads.iter().for_each(|payload| self.send(to, Kind::Rows, payload));
-        }
         match full {
             true => Err(Dropped::Full),
             false => Ok(()),
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -35,6 +35,15 @@
     By(String),
 }
 
+impl std::fmt::Display for Seen {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Seen::Here => f.write_str("here"),
+            Seen::By(name) => write!(f, "by {name}"),
+        }
+    }
+}
+
 /// A change of what is believed of one member.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
--- a/crates/fleet/tests/presence.rs
+++ b/crates/fleet/tests/presence.rs
@@ -1,9 +1,10 @@
 //! Presence over a virtual network: what the fleet believes while parts fail, from fixed seeds.
 
+use lanespan_fleet::node::{Facts, Node};
 use lanespan_fleet::presence::{Output, Presence, Settings};
 use lanespan_fleet::sim::{Net, Weather, SECOND};
 use lanespan_fleet::view::{Seen, Standing};
-use lanespan_fleet::wire::{Dropped, Envelope, Kind};
+use lanespan_fleet::wire::{Dropped, Envelope, Kind, Row};
 use proptest::prelude::*;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -221,17 +222,9 @@
 #[test]
 fn forged_members_are_bounded_and_forgotten_and_pulls_in_a_loop_are_not_answered() {
     let mut net = Net::settled(3, Settings { forget: 30 * SECOND, ..settings() }, 12);
-    let cluster = lanespan_fleet::wire::cluster("test");
     for i in 0..5_000u32 {
-        let node = lanespan_fleet::node::Node {
-            name: format!("forged-{i}"),
-            address: SocketAddr::from(([127, 0, 0, 9], 1 + (i % 60_000) as u16)),
-            incarnation: 1,
-            zone: "z".into(),
-            build: "b".into(),
-        };
-        let payload = postcard::to_allocvec(&node).expect("bytes");
-        net.inject(0, &Envelope { kind: Kind::Pull, cluster, from: 1, digest: 0 }.around(&payload));
+        let node = nobody(&format!("forged-{i}"), 1 + i as u16);
+        net.inject(0, &datagram(Kind::Pull, &postcard::to_allocvec(&node).expect("bytes")));
         if i % 100 == 0 {
             net.run(SECOND / 2);
         }
@@ -245,6 +238,62 @@
     assert_eq!(presence(&net, 0).view().members.len(), 3, "and forgotten");
 }
 
+/// A gateway's identity, with nobody behind it.
+fn nobody(name: &str, port: u16) -> Node {
+    let address = SocketAddr::from(([127, 0, 0, 9], port));
+    Node { name: name.into(), address, incarnation: 1, zone: "z".into(), build: "b".into() }
+}
+
+fn datagram(kind: Kind, payload: &[u8]) -> Vec<u8> {
+    let cluster = lanespan_fleet::wire::cluster("test");
+    Envelope { kind, cluster, from: 1, digest: 0 }.around(payload)
+}
+
+#[test]
+fn one_whom_another_takes_for_dead_and_who_does_not_answer_is_lost_soon() {
+    let mut net = Net::settled(1, settings(), 16);
+    for i in 0..15 {
+        let asks = postcard::to_allocvec(&nobody(&format!("n{i}"), 100 + i)).expect("bytes");
+        net.inject(0, &datagram(Kind::Pull, &asks));
+    }
+    let down = Row { member: foca::Member::down(nobody("n7", 107)), facts: None };
+    net.inject(0, &datagram(Kind::Rows, &postcard::to_allocvec(&down).expect("bytes")));
+    net.run(SECOND / 10);
+    let lost = |net: &Net| {
+        let rows = presence(net, 0).view().members;
+        rows.iter().filter(|r| r.standing == Standing::Lost).map(|r| r.node.name.clone()).collect::<Vec<_>>()
+    };
+    assert!(lost(&net).is_empty(), "it has a moment to say that it lives");
+    net.run(6 * SECOND);
+    assert_eq!(lost(&net), ["n7"], "probes alone would not have come to all yet");
+}
+
+#[test]
+fn a_message_with_unsound_words_or_with_this_gateway_s_own_facts_changes_nothing() {
+    let mut net = Net::settled(2, settings(), 17);
+    let dst = presence(&net, 0).me().clone();
+    let swim = |src: Node, rest: &[u8]| {
+        let header = foca::Header {
+            src,
+            src_incarnation: 0,
+            dst: dst.clone(),
+            message: foca::Message::<Node>::Gossip,
+        };
+        datagram(Kind::Swim, &[&postcard::to_allocvec(&header).expect("bytes")[..], rest].concat())
+    };
+    net.inject(0, &swim(nobody("two\nlines", 1), &[]));
+    assert_eq!(presence(&net, 0).view().members.len(), 2);
+    assert_eq!(presence(&net, 0).counts().dropped[0], 1);
+    let told = std::collections::BTreeMap::from([("ready".to_string(), "never".to_string())]);
+    let facts = Facts { version: 9, told };
+    let item = postcard::to_allocvec(&((&dst.name, dst.address), dst.incarnation, facts)).expect("bytes");
+    let rest = [&[0, 0][..], &(item.len() as u16).to_be_bytes(), &item].concat();
+    net.inject(0, &swim(presence(&net, 1).me().clone(), &rest));
+    assert_eq!(presence(&net, 0).counts().dropped[0], 1, "it was read");
+    let view = presence(&net, 0).view();
+    assert!(view.members.iter().all(|row| row.facts.told.get("ready").is_none()));
+}
+
 #[test]
 fn one_seed_gives_one_history() {
     let history = |seed| {
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -1,8 +1,9 @@
-//! The operators' door: `/metrics`, `/healthz`, `/readyz` and `/debug/state`, on an address of its own. It has bounds
+//! The operators' door: `/metrics`, `/healthz`, `/readyz`, `/debug/state` and `/fleet/members`, on an address of its own. It has bounds
 //! of its own, and answers one call a connection at a pace, so that its clients can't slow requests.
 
 use crate::config::document::AdminSection;
 use crate::driver::{Inbox, Input, Seen, View};
+use crate::fleet::Fleet;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -25,18 +26,18 @@
 const MAX_HEAD: usize = 8 * 1024;
 
 /// Serves operators for ever.
-pub async fn serve(listener: TcpListener, set: AdminSection, inbox: Inbox) {
+pub async fn serve(listener: TcpListener, set: AdminSection, inbox: Inbox, fleet: Option<Rc<Fleet>>) {
     let (places, longest) = (Rc::new(Semaphore::new(set.connections.get())), set.timeout_ms.ms());
     loop {
         let accepted = listener.accept().await;
         // One that finds no place is closed at once.
         match (accepted, Place::of(&places)) {
             (Ok((stream, _)), Some(place)) => {
-                let inbox = inbox.clone();
+                let (inbox, fleet) = (inbox.clone(), fleet.clone());
                 tokio::task::spawn_local(async move {
                     let _place = place;
                     // It may drip, or never read.
-                    let _ = timeout(longest, one_call(stream, inbox)).await;
+                    let _ = timeout(longest, one_call(stream, inbox, fleet)).await;
                 });
             }
             (Ok(_), None) => {}
@@ -62,10 +63,10 @@
     }
 }
 
-async fn one_call(stream: TcpStream, inbox: Inbox) {
+async fn one_call(stream: TcpStream, inbox: Inbox, fleet: Option<Rc<Fleet>>) {
     let service = service_fn(|request| {
-        let inbox = inbox.clone();
-        async move { Ok::<_, Infallible>(answer(&request, &inbox).await) }
+        let (inbox, fleet) = (inbox.clone(), fleet.clone());
+        async move { Ok::<_, Infallible>(answer(&request, &inbox, fleet.as_deref()).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -76,7 +77,7 @@
     let _ = connection.await;
 }
 
-async fn answer(request: &Request<Incoming>, inbox: &Inbox) -> Response<Full<Bytes>> {
+async fn answer(request: &Request<Incoming>, inbox: &Inbox, fleet: Option<&Fleet>) -> Response<Full<Bytes>> {
     let view = match request.uri().path() {
         "/metrics" => Some(View::Metrics),
         "/healthz" | "/readyz" => Some(View::Ready),
@@ -87,7 +88,13 @@
         _ if request.method() != Method::GET => {
             (StatusCode::METHOD_NOT_ALLOWED, TEXT, "only GET\n".to_string())
         }
-        None => (StatusCode::NOT_FOUND, TEXT, "no such path\n".to_string()),
+        None => match fleet.filter(|_| request.uri().path() == "/fleet/members") {
+            Some(fleet) => match serde_json::to_string(&fleet.view()) {
+                Ok(view) => (StatusCode::OK, JSON, view + "\n"),
+                Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, TEXT, format!("{error}\n")),
+            },
+            None => (StatusCode::NOT_FOUND, TEXT, "no such path\n".to_string()),
+        },
         Some(view) => match look(inbox, view).await {
             Some(Seen::Metrics(text)) => (StatusCode::OK, METRICS, text),
             Some(Seen::State(state)) => (StatusCode::OK, JSON, format!("{state}\n")),
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -6,7 +6,7 @@
 use super::config_error::ConfigError;
 use super::pool::{Around, PoolSettings};
 use super::relay::StreamSettings;
-use document::{AdminSection, Document};
+use document::{AdminSection, Document, FleetSection};
 use lanespan_settings::{flatten, Fields, Site};
 use serde::Deserialize;
 use serde_json::Value;
@@ -92,7 +92,7 @@
 /// A file is read up to this length. Guards memory against one that is no configuration.
 const LONGEST: u64 = 32 << 20;
 /// What SIGHUP can't change; named in the log where a new file asks for it.
-const FIXED: [&str; 5] = ["name", "listen", "limits", "admin", "settings"];
+const FIXED: [&str; 6] = ["name", "listen", "limits", "admin", "fleet", "settings"];
 
 /// Where a configuration is read, and what the environment says of it, which goes before the file.
 #[derive(Debug, Clone, Default)]
@@ -163,10 +163,102 @@
     /// An attempt's connection must be made within this.
     pub(crate) dial_timeout: Duration,
     pub(crate) admin: Option<AdminSection>,
+    pub(crate) fleet: Option<FleetSettings>,
     /// As it stood in the file.
     told: Value,
 }
 
+/// A gateway's place in its fleet, as its configuration tells it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FleetSettings {
+    /// This gateway's name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its number among all gateways, from 0.
+    pub number: u32,
+    /// How many gateways there are.
+    pub gateways: u32,
+    /// Where it hears the others.
+    pub listen: SocketAddr,
+    /// Where they reach it, if not there.
+    pub advertise: Option<SocketAddr>,
+    /// The fleet's name.
+    pub cluster: String,
+    /// Who is asked at the start.
+    pub join: Vec<SocketAddr>,
+    /// What others tell of themselves, and where they are reached from here.
+    pub via: BTreeMap<SocketAddr, SocketAddr>,
+    /// The period of probes.
+    pub probe: Duration,
+    /// How long gone gateways are remembered.
+    pub forget: Duration,
+    /// The most that are kept in mind.
+    pub most: usize,
+    /// How long one must be gone before shares grow.
+    pub hold: Duration,
+    /// What is added to the system's clock, in milliseconds.
+    pub clock_ahead_ms: i64,
+}
+
+/// The shortest period of probes. Guards against a fleet that does nothing else.
+const PROBE_LEAST: Duration = Duration::from_millis(50);
+
+impl FleetSettings {
+    fn of(
+        section: FleetSection,
+        name: &str,
+        told: &Value,
+        site: &Site,
+        problems: &mut Vec<String>,
+    ) -> FleetSettings {
+        let set = FleetSettings {
+            name: name.to_string(),
+            zone: told["settings"]["zone"].as_str().unwrap_or_default().to_string(),
+            number: site.settings.me,
+            gateways: site.settings.gateways,
+            listen: section.listen,
+            advertise: section.advertise,
+            cluster: section.cluster,
+            join: section.join,
+            via: section.via,
+            probe: section.probe_ms.ms(),
+            forget: Duration::from_secs(section.forget_s.get() as u64),
+            most: section.most.get(),
+            hold: section.hold_ms.ms(),
+            clock_ahead_ms: section.clock_ahead_ms,
+        };
+        let me = lanespan_fleet::node::Node {
+            name: set.name.clone(),
+            address: set.listen,
+            incarnation: 0,
+            zone: set.zone.clone(),
+            build: String::new(),
+        };
+        if !me.is_sound() {
+            let most = lanespan_fleet::node::LONGEST_WORD;
+            problems
+                .push(format!("fleet: expected a name, and name and settings.zone of {most} bytes at most"));
+        }
+        if set.probe < PROBE_LEAST {
+            let (least, found) = (PROBE_LEAST.as_millis(), set.probe.as_millis());
+            problems.push(format!("fleet.probe_ms: expected {least} or more, found {found}"));
+        }
+        if set.most < set.gateways as usize {
+            let found = set.most;
+            problems.push(format!(
+                "fleet.most: expected settings.balancers, {}, or more, found {found}",
+                set.gateways
+            ));
+        }
+        // Whoever reaches none of its own addresses is told of by an address of any kind.
+        if set.advertise.unwrap_or(set.listen).ip().is_unspecified() {
+            problems.push("fleet.advertise: must be there where fleet.listen names no address".to_string());
+        }
+        set
+    }
+}
+
 /// How the descriptors are shared out, so that no kind of connection can starve another.
 #[derive(Debug, Clone, Copy)]
 pub struct SocketLimits {
@@ -238,6 +330,12 @@
             },
             "streaming": streaming,
             "admin": self.admin.as_ref().map(|admin| admin.listen),
+            "fleet": self.fleet.as_ref().map(|fleet| serde_json::json!({
+                "name": fleet.name, "zone": fleet.zone, "number": fleet.number, "listen": fleet.listen,
+                "advertise": fleet.advertise.unwrap_or(fleet.listen), "cluster": fleet.cluster, "join": fleet.join,
+                "via": fleet.via, "probe_ms": ms(fleet.probe), "forget_s": fleet.forget.as_secs(),
+                "most": fleet.most, "hold_ms": ms(fleet.hold), "clock_ahead_ms": fleet.clock_ahead_ms,
+            })),
             "settings": self.told.get("settings"),
         })
     }
@@ -292,9 +390,12 @@
         let streaming = document.streaming.map(|section| StreamSettings::of(&section, memory)).transpose();
         problems.extend(pool.as_ref().err().into_iter().flat_map(|error| error.lines().to_vec()));
         problems.extend(streaming.as_ref().err().into_iter().flat_map(|error| error.lines().to_vec()));
+        let name = source.name.clone().or(document.name).unwrap_or_default();
+        let fleet =
+            document.fleet.map(|section| FleetSettings::of(section, &name, &told, &site, &mut problems));
         match (pool, streaming) {
             (Ok(pool), Ok(streaming)) if problems.is_empty() => Ok(Config {
-                name: source.name.clone().or(document.name).unwrap_or_default(),
+                name,
                 listen,
                 discovery,
                 counter,
@@ -307,6 +408,7 @@
                 memory,
                 dial_timeout,
                 admin: document.admin,
+                fleet,
                 told,
             }),
             _ => Err(problems.into()),
--- a/crates/gateway/src/config/document.rs
+++ b/crates/gateway/src/config/document.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::Value;
 use std::borrow::Cow;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -77,12 +78,14 @@
     pub streaming: Option<StreamingSection>,
     /// The operators' door: metrics, health and state. Absent: closed.
     pub admin: Option<AdminSection>,
+    /// The gateways of the fleet among each other. Absent: this gateway knows of no other.
+    pub fleet: Option<FleetSection>,
     /// The site: classes, plans, zones and bounds, with the names that the simulator gives them.
     pub settings: Value,
 }
 
 /// The keys of the sections.
-pub const SECTIONS: [&str; 6] = ["limits", "known", "pool", "streaming", "admin", "settings"];
+pub const SECTIONS: [&str; 7] = ["limits", "known", "pool", "streaming", "admin", "fleet", "settings"];
 
 /// What the machine bears.
 #[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema)]
@@ -183,6 +186,49 @@
     }
 }
 
+/// The gateways of the fleet among each other, over UDP (docs/fleet.md).
+#[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct FleetSection {
+    /// Where this gateway hears the others.
+    pub listen: SocketAddr,
+    /// Where they reach it; by default where it listens.
+    pub advertise: Option<SocketAddr>,
+    /// The fleet's name. What comes from another is dropped.
+    pub cluster: String,
+    /// The gateways that are asked at the start, by their addresses.
+    pub join: Vec<SocketAddr>,
+    /// Addresses that others tell of themselves, and by which they are reached from here.
+    pub via: BTreeMap<SocketAddr, SocketAddr>,
+    /// Each gateway probes one other so often.
+    pub probe_ms: Span,
+    /// How long gateways that are gone are remembered, in seconds.
+    pub forget_s: Whole<604_800>,
+    /// The most gateways that are kept in mind, those that are gone included.
+    pub most: Whole<10_000>,
+    /// How long one must be gone before the shares of the others grow.
+    pub hold_ms: Span,
+    /// What is added to the system's clock, in milliseconds; for tests of clocks that lie apart.
+    pub clock_ahead_ms: i64,
+}
+
+impl Default for FleetSection {
+    fn default() -> FleetSection {
+        FleetSection {
+            listen: SocketAddr::from(([127, 0, 0, 1], 7946)),
+            advertise: None,
+            cluster: "lanespan".to_string(),
+            join: Vec::new(),
+            via: BTreeMap::new(),
+            probe_ms: Whole(1_000),
+            forget_s: Whole(3_600),
+            most: Whole(1_000),
+            hold_ms: Whole(5_000),
+            clock_ahead_ms: 0,
+        }
+    }
+}
+
 /// The JSON schema of the file.
 pub fn schema() -> Value {
     schemars::schema_for!(Document).to_value()
@@ -197,6 +243,7 @@
         ("PoolSection", "pool"),
         ("StreamingSection", "streaming"),
         ("AdminSection", "admin"),
+        ("FleetSection", "fleet"),
     ] {
         let section = &schema["$defs"][name];
         let about = section["description"].as_str().unwrap_or_default();
@@ -219,6 +266,8 @@
             "string" => "text".to_string(),
             "boolean" => "true or false".to_string(),
             "number" => "a number".to_string(),
+            "integer" => "a whole number".to_string(),
+            "array" => "a list".to_string(),
             _ => "a section".to_string(),
         });
         let default = match &property["default"] {
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -5,6 +5,7 @@
 use super::config::{Config, MemberList, Phase, Upstreams};
 use super::config_error::ConfigError;
 use super::counter::{Counted, Counter, Order};
+use super::fleet::Fleet;
 use super::metrics::{Final, Metrics, Now};
 use super::pool::{Backend, Pool};
 use super::relay::{Relays, Served};
@@ -113,10 +114,11 @@
 }
 
 impl Clock {
-    /// Reads the system's clock once; from then on the monotonic one counts.
-    pub fn start() -> Clock {
+    /// Reads the system's clock once, and adds so many milliseconds; from then on the monotonic one counts.
+    pub fn start(ahead_ms: i64) -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { base: Micros(unix.as_micros() as u64), start: Instant::now() }
+        let base = (unix.as_micros() as u64).saturating_add_signed(ahead_ms.saturating_mul(1_000));
+        Clock { base: Micros(base), start: Instant::now() }
     }
     /// Now.
     pub fn now(&self) -> Micros {
@@ -126,7 +128,8 @@
     pub fn at(&self, instant: Instant) -> Micros {
         self.base + Micros(instant.saturating_duration_since(self.start).as_micros() as u64)
     }
-    fn instant(&self, at: Micros) -> Instant {
+    /// The moment when this clock shows that time.
+    pub fn instant(&self, at: Micros) -> Instant {
         self.start + Duration::from_micros((at - self.base).0)
     }
 }
@@ -204,6 +207,8 @@
     metrics: Option<Metrics>,
     breaker_open: bool,
     listed_at: Option<Instant>,
+    /// Where there is one; shown, and not asked.
+    fleet: Option<Rc<Fleet>>,
 }
 
 impl Driver {
@@ -241,6 +246,7 @@
             metrics,
             breaker_open: false,
             listed_at: None,
+            fleet: None,
         };
         // It may be old, but it is what there is until discovery speaks, which is waited for a little.
         if !known.members.is_empty() {
@@ -252,6 +258,12 @@
         Ok(driver)
     }
 
+    /// Shows operators the fleet from here on.
+    pub fn show(&mut self, fleet: Rc<Fleet>) {
+        self.metrics.iter_mut().for_each(|metrics| metrics.show(fleet.clone()));
+        self.fleet = Some(fleet);
+    }
+
     /// The way in.
     pub fn inbox(&self) -> Inbox {
         self.inbox.clone()
@@ -566,6 +578,10 @@
                 "idle": gauges.idle, "in_use": gauges.in_use, "dialling": gauges.dialling,
                 "waiting": gauges.waiting,
             },
+            "fleet": self.fleet.as_ref().map(|fleet| {
+                let ((present, suspect, gone), disagreeing, ..) = fleet.figures();
+                json!({ "present": present, "suspect": suspect, "gone": gone, "disagreeing": disagreeing })
+            }),
             "backends_known": self.backends.len(), "backends": backends.collect::<Vec<_>>(),
         })
     }
@@ -688,7 +704,7 @@
 
     fn driver() -> Driver {
         let config = Config::parse(CONFIG).expect("a configuration that makes sense");
-        Driver::new(config, Clock::start(), Rc::default()).expect("a driver")
+        Driver::new(config, Clock::start(0), Rc::default()).expect("a driver")
     }
 
     struct Slow(bool);
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,195 @@
+//! Presence on a socket: one UDP task, off every request's path. It owns the socket and the clock; what is believed,
+//! and what is sent, `lanespan_fleet` says. Where a datagram can't be sent it is dropped and counted: presence is
+//! made for loss.
+
+use crate::config::FleetSettings;
+use crate::driver::Clock;
+use lanespan_fleet::node::{Node, LEAVING, NUMBER, READY, YES};
+use lanespan_fleet::presence::{Counts, Output, Presence, Settings};
+use lanespan_fleet::share::Shares;
+use lanespan_fleet::view::{Change, Standing, View};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::time::sleep_until;
+use tracing::{error, info, warn};
+
+/// What this build calls itself among the others.
+const BUILD: &str = env!("CARGO_PKG_VERSION");
+/// Datagrams read before other tasks have their turn.
+const AT_ONCE: usize = 64;
+/// Longer than any datagram of the fleet's, so that one that is too long is seen to be.
+const ROOM: usize = 2_048;
+
+/// A gateway's place in its fleet.
+pub struct Fleet {
+    socket: UdpSocket,
+    presence: RefCell<Presence>,
+    shares: RefCell<Shares>,
+    clock: Clock,
+    hold: u64,
+    number: u32,
+    gateways: u32,
+    /// The view that the shares were last made from, and when.
+    shared: Cell<(u64, u64)>,
+    unsent: Cell<u64>,
+}
+
+impl Fleet {
+    /// Takes the address and starts a new life there.
+    pub async fn start(set: &FleetSettings, clock: Clock, seed: u64) -> io::Result<Rc<Fleet>> {
+        let socket = UdpSocket::bind(set.listen).await?;
+        let listen = socket.local_addr()?;
+        let address = set.advertise.unwrap_or(listen);
+        let now = clock.now().0;
+        let me = Node {
+            name: set.name.clone(),
+            address,
+            incarnation: now,
+            zone: set.zone.clone(),
+            build: BUILD.to_string(),
+        };
+        let facts = BTreeMap::from([(NUMBER.to_string(), set.number.to_string())]);
+        let settings = Settings {
+            cluster: set.cluster.clone(),
+            probe: micros(set.probe),
+            forget: micros(set.forget),
+            most: set.most,
+            peers: set.join.iter().copied().filter(|peer| *peer != address).collect(),
+            via: set.via.clone(),
+        };
+        info!(name = me.name, %address, %listen, cluster = set.cluster, incarnation = me.incarnation, "fleet: joining");
+        Ok(Rc::new(Fleet {
+            presence: RefCell::new(Presence::new(me, facts, settings, seed, now)),
+            socket,
+            shares: RefCell::default(),
+            clock,
+            hold: micros(set.hold),
+            number: set.number,
+            gateways: set.gateways,
+            shared: Cell::default(),
+            unsent: Cell::new(0),
+        }))
+    }
+
+    /// Runs for ever; tells the others when the list of backends is in hand, and when this gateway is to stop.
+    pub async fn run(self: Rc<Fleet>, ready: Rc<Cell<bool>>, mut stopping: watch::Receiver<bool>) {
+        let mut buffer = vec![0; ROOM];
+        let mut told_stop = false;
+        loop {
+            let due = self.clock.instant(lanespan_policy::api::Micros(self.presence.borrow().next()));
+            tokio::select! {
+                Ok(_) = stopping.wait_for(|stop| *stop), if !told_stop => {
+                    told_stop = true;
+                    self.presence.borrow_mut().tell(self.now(), LEAVING, YES);
+                }
+                () = sleep_until(due) => self.presence.borrow_mut().turn(self.now()),
+                readable = self.socket.readable() => {
+                    if readable.is_err() || !self.read(&mut buffer) {
+                        // Guards against a socket that fails at once each time.
+                        tokio::time::sleep(Duration::from_millis(20)).await;
+                    }
+                }
+            }
+            if ready.get() {
+                self.presence.borrow_mut().tell(self.now(), READY, YES);
+            }
+            self.act();
+        }
+    }
+
+    /// Says that this gateway leaves. What it took is answered by now.
+    pub fn leave(&self) {
+        self.presence.borrow_mut().leave(self.now());
+        self.act();
+        info!("fleet: left");
+    }
+
+    /// By how many gateways the local share of a customer is divided who comes through `spread` gateways from number
+    /// `first` on.
+    pub fn divisor(&self, first: u32, spread: u32) -> u32 {
+        self.shares.borrow().divisor(self.number, first, spread, self.gateways)
+    }
+
+    /// What is believed of the fleet.
+    pub fn view(&self) -> View {
+        self.presence.borrow().view()
+    }
+
+    /// The figures: members present, suspect and gone, those that told another digest, what was counted, and
+    /// datagrams that could not be sent.
+    pub fn figures(&self) -> ((usize, usize, usize), usize, Counts, u64) {
+        let presence = self.presence.borrow();
+        (presence.sizes(), presence.disagreeing(), presence.counts(), self.unsent.get())
+    }
+
+    fn now(&self) -> u64 {
+        self.clock.now().0
+    }
+
+    /// Reads what waits; whether the socket works.
+    fn read(&self, buffer: &mut [u8]) -> bool {
+        for _ in 0..AT_ONCE {
+            match self.socket.try_recv_from(buffer) {
+                Ok((length, _)) => self.presence.borrow_mut().datagram(self.now(), &buffer[..length]),
+                Err(error) => return error.kind() == io::ErrorKind::WouldBlock,
+            }
+        }
+        true
+    }
+
+    fn act(&self) {
+        let outputs = self.presence.borrow_mut().outputs();
+        for output in outputs {
+            match output {
+                Output::Send(to, bytes) => self.send(to, &bytes),
+                Output::Changed(change) => log(&change),
+                Output::Renewed(me) => {
+                    warn!(
+                        incarnation = me.incarnation,
+                        "fleet: taken for dead, or known with a later start; goes on as a new life"
+                    )
+                }
+                Output::ClaimedTwice(older, newer) => error!(
+                    name = older.name, older = %older.address, newer = %newer.address,
+                    "fleet: a name claimed twice; the later start has it"
+                ),
+            }
+        }
+        let (now, digest) = (self.now(), self.presence.borrow().digest());
+        let (last, at) = self.shared.get();
+        // Also where nothing changes, as absences grow old.
+        if last != digest || now >= at + self.hold / 10 {
+            self.shared.set((digest, now));
+            self.shares.borrow_mut().update(now, self.hold, self.presence.borrow().numbers());
+        }
+    }
+
+    /// A full send buffer loses a datagram, as the network may.
+    fn send(&self, to: SocketAddr, bytes: &[u8]) {
+        if self.socket.try_send_to(bytes, to).is_err() {
+            self.unsent.set(self.unsent.get() + 1);
+        }
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    span.as_micros() as u64
+}
+
+fn log(change: &Change) {
+    let Change { node, before, now, seen } = change;
+    let (name, zone, address, incarnation) = (&node.name, &node.zone, node.address, node.incarnation);
+    let before = before.map(|before| format!("{before:?}").to_lowercase());
+    match now {
+        Standing::Present => info!(name, zone, %address, incarnation, before, %seen, "fleet: present"),
+        Standing::Suspect => warn!(name, zone, %address, incarnation, before, %seen, "fleet: suspect"),
+        Standing::Left => info!(name, zone, %address, incarnation, before, %seen, "fleet: has left"),
+        Standing::Lost => warn!(name, zone, %address, incarnation, before, %seen, "fleet: lost"),
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod counter;
 pub mod discovery;
 pub mod driver;
+pub mod fleet;
 mod framing;
 pub mod http;
 mod metrics;
@@ -20,6 +21,7 @@
 use config::{Config, Upstreams};
 use config_error::ConfigError;
 use driver::{Clock, Driver};
+use fleet::Fleet;
 use server::Front;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -59,7 +61,7 @@
     upstreams: watch::Receiver<Upstreams>,
     stopping: watch::Receiver<bool>,
 ) -> Result<(), RunError> {
-    let clock = Clock::start();
+    let clock = Clock::start(config.fleet.as_ref().map_or(0, |fleet| fleet.clock_ahead_ms));
     let ready = Rc::new(Cell::new(false));
     let (listen, sockets) = (config.listen, config.sockets);
     let classes = config.site.classes.iter().map(|(name, &i)| {
@@ -79,14 +81,24 @@
     let held = (asks && !config.known.members.is_empty()).then_some(config.known.revision);
     let bodies = config.memory / BODIES_PART;
     let admin = config.admin.clone();
-    let driver = Driver::new(config, clock, ready.clone()).map_err(RunError::Config)?;
+    let (joins, seed) = (config.fleet.clone(), config.seed);
+    let mut driver = Driver::new(config, clock, ready.clone()).map_err(RunError::Config)?;
+    let fleet = match &joins {
+        Some(set) => {
+            let fleet = Fleet::start(set, clock, seed).await.map_err(|e| RunError::Listen(set.listen, e))?;
+            driver.show(fleet.clone());
+            tokio::task::spawn_local(fleet.clone().run(ready.clone(), stopping.clone()));
+            Some(fleet)
+        }
+        None => None,
+    };
     let (inbox, pool, relays) = (driver.inbox(), driver.pool(), driver.relays());
     let listener = TcpListener::bind(listen).await.map_err(|e| RunError::Listen(listen, e))?;
     if let Some(set) = admin {
         let failed = |e| RunError::Listen(set.listen, e);
         let door = TcpListener::bind(set.listen).await.map_err(failed)?;
         info!(address = %door.local_addr().map_err(failed)?, "the operators' door is open");
-        tokio::task::spawn_local(admin::serve(door, set, inbox.clone()));
+        tokio::task::spawn_local(admin::serve(door, set, inbox.clone(), fleet.clone()));
     }
     let address = listener.local_addr().map_err(|e| RunError::Listen(listen, e))?;
     info!(name, %address, "listening");
@@ -115,10 +127,13 @@
         relays,
         retry_after,
         time_is_up: Notify::new(),
+        fleet: fleet.clone(),
     };
     // Guards against living on without a driver, taking requests that nobody decides.
-    tokio::select! {
+    let ended = tokio::select! {
         () = server::serve(listener, Rc::new(front), sockets.clients) => Ok(()),
         _ = driving => Err(RunError::Driver),
-    }
+    };
+    fleet.iter().for_each(|fleet| fleet.leave());
+    ended
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Figures of a running gateway for its operators, in OpenMetrics. Every series is made at the start from what the
 //! configuration names, so that no client can make more of them.
 
+use crate::fleet::Fleet;
 use crate::pool::Pool;
 use crate::relay::Relays;
+use lanespan_fleet::wire::Dropped;
 use lanespan_policy::api::{ClassId, Micros, Outcome, PlanId};
 use lanespan_policy::rules::look::Look;
 use lanespan_settings::Site;
@@ -12,6 +14,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 
 /// Bounds of the buckets of times, in seconds.
@@ -46,6 +49,55 @@
     ("pool_denied", "Requests that got no connection"),
 ];
 
+/// What is believed of the fleet, and what its datagrams came to.
+const FLEET: [(&str, &str); 4] = [
+    ("fleet_present", "Gateways believed present, this one included"),
+    ("fleet_suspect", "Those among them that did not answer somebody"),
+    ("fleet_gone", "Gateways that left or are lost, as long as they are remembered"),
+    ("fleet_disagreeing", "Gateways that lately told another view"),
+];
+const FLEET_COUNTS: [(&str, &str); 9] = [
+    ("fleet_datagrams_received", "Datagrams read"),
+    ("fleet_bytes_received", "Their bytes"),
+    ("fleet_datagrams_sent", "Datagrams sent"),
+    ("fleet_bytes_sent", "Their bytes"),
+    ("fleet_datagrams_unsent", "Datagrams that the system did not take"),
+    ("fleet_exchanges_asked", "Full exchanges asked for"),
+    ("fleet_exchanges_answered", "Full exchanges answered"),
+    ("fleet_suspicions", "Times that a gateway was suspected"),
+    ("fleet_stalls", "Times that this process stood still"),
+];
+
+/// The figures of the fleet, where there is one.
+struct FleetSeries {
+    fleet: Rc<Fleet>,
+    gauges: [Gauge<f64, AtomicU64>; FLEET.len()],
+    counts: [Counter; FLEET_COUNTS.len()],
+    dropped: Vec<Counter>,
+}
+
+impl FleetSeries {
+    fn read(&self) {
+        let ((present, suspect, gone), disagreeing, counts, unsent) = self.fleet.figures();
+        let gauges = [present, suspect, gone, disagreeing];
+        self.gauges.iter().zip(gauges).for_each(|(gauge, value)| _ = gauge.set(value as f64));
+        let (received, sent, pulls) = (counts.received, counts.sent, counts.pulls);
+        let totals = [
+            received.0,
+            received.1,
+            sent.0,
+            sent.1,
+            unsent,
+            pulls.0,
+            pulls.1,
+            counts.suspicions,
+            counts.stalls,
+        ];
+        let all = self.counts.iter().zip(totals).chain(self.dropped.iter().zip(counts.dropped));
+        all.for_each(|(counter, total)| counter.inner().store(total, Relaxed));
+    }
+}
+
 type Labels = Vec<(&'static str, String)>;
 
 /// What a client got.
@@ -92,6 +144,7 @@
     breaker_changes: Counter,
     gauges: [Gauge<f64, AtomicU64>; GAUGES.len()],
     pool: [Counter; POOL.len()],
+    fleet: Option<FleetSeries>,
 }
 
 /// What is read when somebody asks.
@@ -121,16 +174,8 @@
         let calls = Family::<Labels, Counter>::default();
         let times = Family::<Labels, Histogram>::new_with_constructor(|| Histogram::new(TIMES));
         let (call_times, breaker_changes) = (Histogram::new(TIMES), Counter::default());
-        let gauges = GAUGES.map(|(name, about)| {
-            let gauge = Gauge::default();
-            registry.register(name, about, Gauge::clone(&gauge));
-            gauge
-        });
-        let pool = POOL.map(|(name, about)| {
-            let counter = Counter::default();
-            registry.register(name, about, Counter::clone(&counter));
-            counter
-        });
+        let gauges = GAUGES.map(|of| gauge(&mut registry, of));
+        let pool = POOL.map(|of| counter(&mut registry, of));
         registry.register(
             "requests",
             "Requests, by class, plan and what their clients got",
@@ -171,10 +216,27 @@
             breaker_changes,
             gauges,
             pool,
+            fleet: None,
             registry,
         }
     }
 
+    /// Tells of this fleet too.
+    pub fn show(&mut self, fleet: Rc<Fleet>) {
+        let gauges = FLEET.map(|of| gauge(&mut self.registry, of));
+        let counts = FLEET_COUNTS.map(|of| counter(&mut self.registry, of));
+        let family = Family::<Labels, Counter>::default();
+        self.registry.register(
+            "fleet_datagrams_dropped",
+            "Datagrams not read, by the reason",
+            family.clone(),
+        );
+        let series =
+            |(_, why): &(Dropped, &str)| family.get_or_create(&vec![("why", why.to_string())]).clone();
+        let dropped = Dropped::ALL.iter().map(series).collect();
+        self.fleet = Some(FleetSeries { fleet, gauges, counts, dropped });
+    }
+
     /// A request has its end, after this time.
     pub fn request(&self, class: ClassId, plan: PlanId, got: Final, took: Micros) {
         if let Some(series) = self.requests.get(class.0).and_then(|plans| plans.get(plan.0)) {
@@ -227,6 +289,7 @@
         self.gauges.iter().zip(gauges).for_each(|(gauge, value)| _ = gauge.set(value));
         let totals = [counted.used, counted.reused, counted.dials, counted.failed, counted.denied];
         self.pool.iter().zip(totals).for_each(|(counter, total)| counter.inner().store(total, Relaxed));
+        self.fleet.iter().for_each(FleetSeries::read);
         let mut text = String::new();
         // Writing to a String can't fail.
         let _ = encode(&mut text, &self.registry);
@@ -234,6 +297,18 @@
     }
 }
 
+fn gauge(registry: &mut Registry, (name, about): (&str, &str)) -> Gauge<f64, AtomicU64> {
+    let gauge = Gauge::default();
+    registry.register(name, about, Gauge::clone(&gauge));
+    gauge
+}
+
+fn counter(registry: &mut Registry, (name, about): (&str, &str)) -> Counter {
+    let counter = Counter::default();
+    registry.register(name, about, Counter::clone(&counter));
+    counter
+}
+
 /// The memory and the descriptors of this process; nothing where the system does not tell.
 fn process() -> (f64, f64) {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,6 +5,7 @@
 mod line;
 
 use crate::driver::{Clock, Inbox};
+use crate::fleet::Fleet;
 use crate::http::send_at_once;
 use crate::relay::Relays;
 use crate::tapped::Tapped;
@@ -77,6 +78,8 @@
     pub retry_after: Option<Micros>,
     /// Told when a stopping gateway can wait no longer for the answers of its backends.
     pub time_is_up: Notify,
+    /// The fleet, where this gateway knows of others.
+    pub fleet: Option<Rc<Fleet>>,
 }
 
 impl Front {
@@ -209,7 +212,7 @@
     fn front(stopping: watch::Receiver<bool>) -> Front {
         Front {
             inbox: mpsc::channel(1).0,
-            clock: Clock::start(),
+            clock: Clock::start(0),
             ready: Rc::new(Cell::new(true)),
             classes: HashMap::new(),
             plans: HashMap::new(),
@@ -222,6 +225,7 @@
             relays: Rc::new(Relays::new(None, 0)),
             retry_after: None,
             time_is_up: Notify::new(),
+            fleet: None,
         }
     }
 
--- a/crates/gateway/src/server/asked.rs
+++ b/crates/gateway/src/server/asked.rs
@@ -60,7 +60,7 @@
         let customer = query.and_then(customer).ok_or_else(|| bad("customer: expected 16 hex digits\n"))?;
         let budget = text(BUDGET).and_then(|v| v.parse::<u64>().ok());
         let budget = budget.ok_or_else(|| bad("X-Budget-Ms: expected whole milliseconds\n"))?;
-        let (units, spread) = named("x-quota")
+        let (units, spread, first) = named("x-quota")
             .and_then(|value| quota(value, front.most_units, front.gateways))
             .ok_or_else(|| bad("X-Quota: expected units, spread and first in their ranges\n"))?;
         let call = headers.get("x-call-id").filter(|id| !id.is_empty()).cloned();
@@ -81,6 +81,7 @@
             plan: *plan,
             customer,
             spread,
+            sharing: front.fleet.as_ref().map_or(spread, |fleet| fleet.divisor(first, spread)),
             units,
             resent: named("x-again") == Some("1"),
             ..Arrival::default()
@@ -98,9 +99,9 @@
     u64::from_str_radix(digits, 16).ok().filter(|id| hex && *id < CUSTOMERS).map(CustomerId)
 }
 
-/// Units and spread. Guards against what no class asks for and no tier has, which would be charged to a
+/// Units, spread and first. Guards against what no class asks for and no tier has, which would be charged to a
 /// customer by whoever writes its name.
-pub(super) fn quota(value: &str, most_units: f64, gateways: u32) -> Option<(f64, u32)> {
+pub(super) fn quota(value: &str, most_units: f64, gateways: u32) -> Option<(f64, u32, u32)> {
     let (mut units, mut spread, mut first) = (None, None, None);
     for part in value.split(',') {
         let unset = match part.trim().split_once('=')? {
@@ -115,5 +116,5 @@
         };
         unset.then_some(())?;
     }
-    first.and(units).zip(spread)
+    Some((units?, spread?, first?))
 }
--- a/crates/lanespan/src/cli.rs
+++ b/crates/lanespan/src/cli.rs
@@ -35,6 +35,9 @@
     #[command(after_help = "Examples:\n  lanespan status --admin 127.0.0.1:9901\n  \
         lanespan status --config lanespan.toml --json")]
     Status(Status),
+    /// Ask a running gateway what it knows of the others
+    #[command(subcommand)]
+    Fleet(FleetCommand),
     /// Print a shell's completions
     #[command(after_help = "Example:\n  lanespan completions bash > /etc/bash_completion.d/lanespan")]
     Completions {
@@ -59,6 +62,14 @@
     Reference,
 }
 
+#[derive(Subcommand)]
+pub enum FleetCommand {
+    /// List the gateways that it knows, by zone
+    #[command(after_help = "Examples:\n  lanespan fleet members --admin 127.0.0.1:9901\n  \
+        lanespan fleet members --config lanespan.toml --json")]
+    Members(Status),
+}
+
 #[derive(Args)]
 pub struct RunFile {
     /// The configuration: TOML if its name ends so, else JSON
--- a/crates/lanespan/src/main.rs
+++ b/crates/lanespan/src/main.rs
@@ -1,11 +1,12 @@
 //! `lanespan`: the command of the gateway.
 
 mod cli;
+mod fleet;
 mod run;
 mod status;
 
 use clap::Parser;
-use cli::{Command, ConfigCommand, Lanespan};
+use cli::{Command, ConfigCommand, FleetCommand, Lanespan};
 use lanespan_gateway::config::{document, Source};
 use std::io::Write;
 use std::path::PathBuf;
@@ -31,21 +32,27 @@
         Command::Config(ConfigCommand::Example) => print(EXAMPLE),
         Command::Config(ConfigCommand::Schema) => print(&format!("{:#}\n", document::schema())),
         Command::Config(ConfigCommand::Reference) => print(&document::reference()),
-        Command::Status(asked) => match asked.door() {
-            Ok(door) => match status::ask(door) {
-                Ok(state) if asked.json => print(&format!("{state:#}\n")),
-                Ok(state) => print(&status::table(&state)),
-                Err(problem) => {
-                    eprintln!("lanespan: {problem}");
-                    ExitCode::FAILURE
-                }
-            },
-            Err(problems) => wrong(&problems),
-        },
+        Command::Status(asked) => ask(&asked, status::STATE, status::table),
+        Command::Fleet(FleetCommand::Members(asked)) => ask(&asked, fleet::MEMBERS, fleet::table),
         Command::Completions { shell } => print(&cli::completions(shell)),
     }
 }
 
+/// Asks a running gateway and prints its answer.
+fn ask(asked: &cli::Status, path: &str, table: fn(&serde_json::Value) -> String) -> ExitCode {
+    match asked.door() {
+        Ok(door) => match status::ask(door, path) {
+            Ok(answer) if asked.json => print(&format!("{answer:#}\n")),
+            Ok(answer) => print(&table(&answer)),
+            Err(problem) => {
+                eprintln!("lanespan: {problem}");
+                ExitCode::FAILURE
+            }
+        },
+        Err(problems) => wrong(&problems),
+    }
+}
+
 /// Does something with the file that was named.
 fn with(file: PathBuf, act: impl FnOnce(&Source) -> ExitCode) -> ExitCode {
     match cli::source(file) {
--- a/crates/lanespan/src/status.rs
+++ b/crates/lanespan/src/status.rs
@@ -1,4 +1,4 @@
-//! `lanespan status`: asks a running gateway how it is.
+//! Asks a running gateway through its admin address; `lanespan status` how it is.
 
 use serde_json::Value;
 use std::fmt::Write as _;
@@ -11,23 +11,29 @@
 /// The longest answer that is read.
 const LONGEST: u64 = 16 << 20;
 
-/// What the gateway behind this door says of itself.
-pub fn ask(admin: SocketAddr) -> Result<Value, String> {
-    let text = get(admin).map_err(|error| format!("{admin}: {error}"))?;
+/// Where its state is.
+pub const STATE: &str = "/debug/state";
+
+/// What the gateway behind this door says at this path.
+pub fn ask(admin: SocketAddr, path: &str) -> Result<Value, String> {
+    let text = get(admin, path).map_err(|error| format!("{admin}: {error}"))?;
     let (head, body) = text.split_once("\r\n\r\n").ok_or_else(|| format!("{admin}: not an answer"))?;
     match head.lines().next() {
         Some(line) if line.contains(" 200 ") => {
-            serde_json::from_str(body).map_err(|error| format!("{admin}: not a state: {error}"))
+            serde_json::from_str(body).map_err(|error| format!("{admin}: not JSON: {error}"))
+        }
+        Some(line) if line.contains(" 404 ") => {
+            Err(format!("{admin}: has no {path}; is its section configured?"))
         }
         line => Err(format!("{admin}: answered {}", line.unwrap_or("nothing"))),
     }
 }
 
-fn get(admin: SocketAddr) -> std::io::Result<String> {
+fn get(admin: SocketAddr, path: &str) -> std::io::Result<String> {
     let mut stream = TcpStream::connect_timeout(&admin, PATIENCE)?;
     stream.set_read_timeout(Some(PATIENCE))?;
     stream.set_write_timeout(Some(PATIENCE))?;
-    write!(stream, "GET /debug/state HTTP/1.1\r\nHost: {admin}\r\nConnection: close\r\n\r\n")?;
+    write!(stream, "GET {path} HTTP/1.1\r\nHost: {admin}\r\nConnection: close\r\n\r\n")?;
     let mut text = String::new();
     stream.take(LONGEST).read_to_string(&mut text)?;
     Ok(text)
@@ -42,7 +48,11 @@
         Some(false) => not.to_string(),
         None => "-".to_string(),
     };
-    let (counter, pool) = (&state["counter"], &state["pool"]);
+    let (counter, pool, fleet) = (&state["counter"], &state["pool"], &state["fleet"]);
+    let fleet = match fleet.is_null() {
+        true => "-".to_string(),
+        false => format!("{}, {}, {}", fleet["present"], fleet["suspect"], fleet["gone"]),
+    };
     for (name, value) in [
         ("ready", word(&state["ready"], "yes", "no")),
         ("list told, s ago", number(&state["discovery_age_s"])),
@@ -53,6 +63,7 @@
         ("customers", state["customers"].to_string()),
         ("connections in use, idle", format!("{}, {}", pool["in_use"], pool["idle"])),
         ("bytes reserved for streams", state["stream_bytes_reserved"].to_string()),
+        ("gateways, suspect, gone", fleet),
         ("backends", state["backends_known"].to_string()),
     ] {
         // Writing to a String can't fail.
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -272,6 +272,9 @@
     pub customer: CustomerId,
     /// Through how many gateways this customer's requests come.
     pub spread: u32,
+    /// Over how many of these this gateway believes them spread at the moment, from what it knows of the fleet: its
+    /// local share is divided by this. 0: by `spread`.
+    pub sharing: u32,
     /// The client gives up then.
     pub deadline: Micros,
     /// Its units.
--- a/crates/policy/src/rules/admission.rs
+++ b/crates/policy/src/rules/admission.rs
@@ -68,6 +68,7 @@
             c.beyond.at = now; // Starts empty: an earlier life of this gateway may have spent it.
         }
         (c.plan, c.spread, c.used) = (plan, f64::from(a.spread.max(1)), now);
+        c.sharing = if a.sharing > 0 { f64::from(a.sharing) } else { c.spread };
         // Where clients do not mark repeats: the like of what was refused here a moment ago.
         let alike = |r: &Refusal| r.class == a.class && r.units == a.units && now < r.at + REPEAT_SPAN;
         let resent = a.resent || c.refused.as_ref().is_some_and(alike);
@@ -340,9 +341,9 @@
         let left = self.room(customer, c.window.known()).max(0.0);
         let (used, silent) = (self.used(customer), self.silent(customer));
         let Some(c) = self.customers.get_mut(&customer) else { return false };
-        // Half by the gateways it can come through, half by what this one was seen to carry: sums to one.
-        let carried = if c.heard.1 > 0.0 { (c.heard.0 / c.heard.1).clamp(0.0, 1.0) } else { 1.0 / c.spread };
-        let mut share = (carried + 1.0 / c.spread) / 2.0;
+        // Half by the gateways it comes through as far as is known, half by what this one was seen to carry: sums to one.
+        let carried = if c.heard.1 > 0.0 { (c.heard.0 / c.heard.1).clamp(0.0, 1.0) } else { 1.0 / c.sharing };
+        let mut share = (carried + 1.0 / c.sharing) / 2.0;
         // What the other gateways were not seen to need can be had here. Guards against refusing customers
         // who use little and come through one gateway for a while, where the counter is silent or can't bear
         // all calls. May hurt in a silence in which several gateways see one ask more than it did before.
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -90,6 +90,8 @@
     pub(crate) refused: Option<Refusal>,
     pub(crate) plan: usize,
     pub(crate) spread: f64,
+    /// Over how many gateways its requests are believed to come now.
+    pub(crate) sharing: f64,
     pub(crate) window: Tally,
     pub(crate) epoch: Tally,
     /// Own adds and totals of past windows, smoothed.
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -117,7 +117,8 @@
         self.next += 1;
         let deadline = Micros(self.now + 3 * S);
         let (class, plan, customer) = (ClassId(class), PlanId(plan), CustomerId(customer));
-        let arrival = Arrival { id, class, plan, customer, spread: 2, deadline, units, resent: false };
+        let arrival =
+            Arrival { id, class, plan, customer, spread: 2, sharing: 0, deadline, units, resent: false };
         (id, self.tell(Event::Request(arrival)))
     }
     /// A request without quota, sent on at once; returns where it went.
--- a/crates/policy/tests/scale.rs
+++ b/crates/policy/tests/scale.rs
@@ -14,7 +14,8 @@
     rig.next += 1;
     let deadline = Micros(rig.now + 3 * S);
     let (class, plan, customer) = (ClassId(0), PlanId(0), CustomerId(rig.next));
-    let arrival = Arrival { id, class, plan, customer, spread: 200, deadline, units: 2.0, resent };
+    let arrival =
+        Arrival { id, class, plan, customer, spread: 200, sharing: 0, deadline, units: 2.0, resent };
     (id, rig.tell(Event::Request(arrival)))
 }
 
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -98,6 +98,7 @@
                     plan: PlanId(plan),
                     customer: CustomerId(customer),
                     spread: f.real_or("doors", 1.0)?.clamp(1.0, 1e6) as u32,
+                    sharing: 0,
                     deadline: f.read("drop_dead", "a clock time")?.map_or(now + longest, Micros),
                     units,
                     resent: f.flag_or("resent", false)?,
