Lab: the fleet rig, real gateways among stand-ins and relays with faults, load and checks

A gateway broken on purpose in seven ways is caught by the check meant for it, and without a defect by none.

--- /dev/null
+++ b/crates/lab/src/broken.rs
@@ -0,0 +1,132 @@
+//! A gateway that is broken on purpose, in one way at a time, so that each check can be seen to catch what it is for.
+//! It passes requests on without any decision; with no defect named it breaks no rule at a light load.
+
+use crate::http;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request};
+use serde_json::Value;
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::spawn_local;
+
+/// What it leaks with each request, in bytes.
+const LEAK: usize = 1 << 20;
+
+struct Broken {
+    /// `none`, `answers_twice`, `runs_twice`, `forges`, `keeps_drained`, `leaks`, `crashes` or `hangs_up`.
+    defect: String,
+    discovery: SocketAddr,
+    first_list: Vec<SocketAddr>,
+    leaked: RefCell<Vec<Vec<u8>>>,
+    served: RefCell<u64>,
+}
+
+/// Runs it with a gateway's file, in which `broken` names the defect, until SIGTERM.
+pub async fn run(config: &Value) -> Result<(), String> {
+    let told = |error: io::Error| error.to_string();
+    let discovery = config["discovery"].as_str().and_then(|at| at.parse().ok()).ok_or("no discovery")?;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.map_err(told)?;
+    let door = TcpListener::bind("127.0.0.1:0").await.map_err(told)?;
+    let listener = TcpListener::bind("127.0.0.1:0").await.map_err(told)?;
+    let defect = config["broken"].as_str().unwrap_or("none").to_string();
+    let first_list = list(discovery).await?;
+    let (leaked, served) = Default::default();
+    let broken = Rc::new(Broken { defect, discovery, first_list, leaked, served });
+    eprintln!("fleet: joining listen={}", socket.local_addr().map_err(told)?);
+    eprintln!("the operators' door is open address={}", door.local_addr().map_err(told)?);
+    eprintln!("listening address={}", listener.local_addr().map_err(told)?);
+    let mut terminate = signal(SignalKind::terminate()).map_err(told)?;
+    loop {
+        let (stream, _) = tokio::select! {
+            accepted = listener.accept() => accepted.map_err(told)?,
+            _ = terminate.recv() => return Ok(()),
+        };
+        let broken = broken.clone();
+        // Whoever breaks off is served no further.
+        spawn_local(async move { broken.connection(stream).await.unwrap_or_default() });
+    }
+}
+
+/// The backends that take work.
+async fn list(discovery: SocketAddr) -> Result<Vec<SocketAddr>, String> {
+    let (_, body) = http::get(discovery, "/catalog/members").await?;
+    let list: Value = serde_json::from_slice(&body).map_err(|error| error.to_string())?;
+    let ready = list["members"].as_array().into_iter().flatten().filter(|member| member["phase"] == "ready");
+    Ok(ready.filter_map(|member| member["host_port"].as_str()?.parse().ok()).collect())
+}
+
+impl Broken {
+    async fn connection(&self, stream: TcpStream) -> io::Result<()> {
+        let mut stream = BufReader::new(stream);
+        loop {
+            let mut head = Vec::new();
+            loop {
+                let mut line = String::new();
+                if stream.read_line(&mut line).await? == 0 {
+                    return Ok(());
+                }
+                match line.trim_end() {
+                    "" => break,
+                    line => head.push(line.to_string()),
+                }
+            }
+            let line = head.first().cloned().unwrap_or_default();
+            if line.contains("/_health") {
+                stream.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await?;
+                continue;
+            }
+            let name = |line: &String| Some(line.split_once(": ")?.1.to_string()).filter(|_| call_id(line));
+            let call = head.iter().find_map(name).unwrap_or_default();
+            let served = self.served.replace_with(|served| *served + 1);
+            match self.defect.as_str() {
+                "crashes" if served == 5 => std::process::exit(3),
+                "hangs_up" if served % 5 == 4 => return Ok(()),
+                "leaks" => self.leaked.borrow_mut().push(vec![1; LEAK]),
+                _ => {}
+            }
+            let answer = match self.pass_on(&line, &call).await {
+                Ok((status, body)) => {
+                    format!("HTTP/1.1 {status} -\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+                }
+                Err(_) => "HTTP/1.1 502 -\r\nContent-Length: 0\r\n\r\n".to_string(),
+            };
+            let times = if self.defect == "answers_twice" { 2 } else { 1 };
+            stream.get_mut().write_all(answer.repeat(times).as_bytes()).await?;
+        }
+    }
+
+    async fn pass_on(&self, line: &str, call: &str) -> Result<(u16, String), String> {
+        let told = list(self.discovery).await?;
+        let backends = if self.defect == "keeps_drained" { &self.first_list } else { &told };
+        let place = call.bytes().map(usize::from).sum::<usize>() % backends.len().max(1);
+        let backend = *backends.get(place).ok_or("no backend")?;
+        let mut words = line.split(' ');
+        let (method, path) = (words.next().unwrap_or("GET"), words.next().unwrap_or("/"));
+        let method: Method = method.parse().map_err(|_| "no method")?;
+        let ask = || async {
+            let mut sender = http::connect(backend, |_| ()).await?;
+            let request = Request::builder().method(method.clone()).uri(path).header("Host", "lab");
+            let request = request.header("X-Call-Id", call).body(Full::<Bytes>::default());
+            let request = request.map_err(|error| error.to_string())?;
+            http::collect(sender.send_request(request).await.map_err(|error| error.to_string())?).await
+        };
+        if self.defect == "runs_twice" {
+            ask().await?;
+        }
+        let (status, body) = ask().await?;
+        match self.defect.as_str() {
+            "forges" => Ok((status, format!("{call} nobody 1"))),
+            _ => Ok((status, String::from_utf8_lossy(&body).into_owned())),
+        }
+    }
+}
+
+fn call_id(line: &str) -> bool {
+    line.to_ascii_lowercase().starts_with("x-call-id: ")
+}
--- /dev/null
+++ b/crates/lab/src/experiment.rs
@@ -0,0 +1,215 @@
+//! Experiment files: a fleet, its load, a timeline of faults, and the checks that must hold.
+
+use crate::links::Fault;
+use crate::load::Load;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// An experiment.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    /// What it shows.
+    pub shows: String,
+    /// From which load, service times and chances are drawn.
+    #[serde(default = "one")]
+    pub seed: u64,
+    /// How long requests come, in seconds.
+    pub seconds: f64,
+    /// The zones of each region.
+    pub regions: BTreeMap<String, Vec<String>>,
+    /// The gateways.
+    pub gateways: Gateways,
+    /// The backends.
+    #[serde(default)]
+    pub backends: Backends,
+    /// The load.
+    #[serde(default)]
+    pub load: Load,
+    /// What is done when, in this order.
+    #[serde(default)]
+    pub timeline: Vec<Step>,
+    /// What must hold.
+    #[serde(default)]
+    pub checks: Checks,
+}
+
+fn one() -> u64 {
+    1
+}
+
+/// The gateways: `g0`, `g1`, over the zones in turn.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Gateways {
+    /// How many.
+    pub count: usize,
+    /// The period of their probes of each other.
+    #[serde(default = "probe")]
+    pub probe_ms: u64,
+    /// How long one must be gone before shares grow.
+    #[serde(default = "hold")]
+    pub hold_ms: u64,
+    /// Without it they have no `fleet` section.
+    #[serde(default = "yes")]
+    pub fleet: bool,
+    /// What each one's clock shows beyond the machine's, in milliseconds, by name.
+    #[serde(default)]
+    pub clock_ahead_ms: BTreeMap<String, i64>,
+}
+
+fn probe() -> u64 {
+    200
+}
+fn hold() -> u64 {
+    2_000
+}
+fn yes() -> bool {
+    true
+}
+
+/// The backends: `b0`, `b1`, over the zones in turn.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Backends {
+    /// How many.
+    pub count: usize,
+    /// Requests that each works on at once, and those that wait beside them.
+    pub slots: usize,
+    /// Those that wait.
+    pub waiting: usize,
+    /// The mean time of service.
+    pub mean_ms: u64,
+    /// How long one is cold after a start.
+    pub cold_ms: u64,
+    /// The part of its speed that it starts with.
+    pub cold_from: f64,
+}
+
+impl Default for Backends {
+    fn default() -> Backends {
+        Backends { count: 6, slots: 8, waiting: 16, mean_ms: 20, cold_ms: 3_000, cold_from: 0.3 }
+    }
+}
+
+/// Something done at a time.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    /// When, in seconds since the load began.
+    pub at: f64,
+    /// What.
+    pub act: Act,
+}
+
+/// Parties: names such as `g0` and `b1`, `counter`, `discovery`, or all of `zone:a`, `region:north`, `gateways`,
+/// `backends`.
+pub type Parties = Vec<String>;
+
+/// What can be done to a fleet. Names that are not there are an error.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Act {
+    /// SIGKILL, or for stand-ins an end without a word.
+    Kill(Parties),
+    /// SIGTERM to gateways.
+    Terminate(Parties),
+    /// Starts what does not run: backends cold, the counter with what it held.
+    Start(Parties),
+    /// SIGTERM, the end, and a start, one after the other.
+    Roll(Parties),
+    /// SIGSTOP to gateways.
+    Stop(Parties),
+    /// SIGCONT to gateways.
+    Resume(Parties),
+    /// SIGHUP to gateways.
+    Reload(Parties),
+    /// The list tells that these backends drain.
+    Drain(Parties),
+    /// The list tells that they are ready again.
+    Undrain(Parties),
+    /// Backends work so many times as long.
+    Slow {
+        /// Which.
+        who: Parties,
+        /// Times.
+        times: f64,
+    },
+    /// Backends answer 500 at once.
+    Fail(Parties),
+    /// Backends say nothing.
+    Freeze(Parties),
+    /// Backends are well again.
+    Cure(Parties),
+    /// The counter forgets all.
+    Forget,
+    /// The links from these to those do this, that way only.
+    Link {
+        /// From which,
+        from: Parties,
+        /// to which.
+        to: Parties,
+        /// What they do.
+        fault: Fault,
+    },
+    /// Only parties of one group reach each other; those in none reach all.
+    Partition(Vec<Parties>),
+    /// All links are whole again.
+    Heal,
+}
+
+/// What must hold. What is given by number is a bound that must not be passed.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Checks {
+    /// The share of units sent on beyond the customers' buckets, of those inside.
+    pub beyond_quota: f64,
+    /// Memory of a gateway in MiB.
+    pub memory_mb: u64,
+    /// Descriptors of a gateway.
+    pub descriptors: usize,
+    /// How long after the end all views must agree, in seconds.
+    pub agree_within: f64,
+    /// The share of requests inside their quotas that must be served.
+    pub served: f64,
+}
+
+impl Default for Checks {
+    fn default() -> Checks {
+        Checks { beyond_quota: 0.25, memory_mb: 192, descriptors: 1_024, agree_within: 60.0, served: 0.0 }
+    }
+}
+
+impl Experiment {
+    /// Reads a file's text.
+    pub fn read(text: &str) -> Result<Experiment, String> {
+        let read: Experiment = toml::from_str(text).map_err(|error| error.to_string())?;
+        let zones = read.zones().len();
+        let wrong = |what: &str| Err(what.to_string());
+        match () {
+            () if zones == 0 => wrong("regions: expected a zone at least"),
+            () if !(1..=60).contains(&read.gateways.count) => wrong("gateways.count: expected 1 to 60"),
+            () if !(1..=200).contains(&read.backends.count) => wrong("backends.count: expected 1 to 200"),
+            () if !(read.seconds > 0.0 && read.seconds <= 3_600.0) => wrong("seconds: expected up to 3600"),
+            () if !(0.0..=5_000.0).contains(&read.load.rate) => wrong("load.rate: expected 0 to 5000"),
+            () if read.timeline.windows(2).any(|pair| pair[0].at > pair[1].at) => {
+                wrong("timeline: out of order")
+            }
+            () if read.timeline.iter().any(|step| !(step.at >= 0.0 && step.at <= read.seconds)) => {
+                wrong("timeline: expected times from 0 to seconds")
+            }
+            () => Ok(read),
+        }
+    }
+
+    /// All zones, in the order of their regions.
+    pub fn zones(&self) -> Vec<String> {
+        self.regions.values().flatten().cloned().collect()
+    }
+
+    /// How long requests come.
+    pub fn span(&self) -> Duration {
+        Duration::from_secs_f64(self.seconds)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/gateway.rs
@@ -0,0 +1,315 @@
+//! One gateway as a real process: its file, its log, its signals and its end.
+
+use crate::links::Target;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{timeout, Instant};
+
+/// How long a start may take.
+const START: Duration = Duration::from_secs(20);
+/// Lines of a log that are kept in memory; all of them are in its file.
+const KEPT: usize = 2_000;
+
+/// How a gateway's process stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Running {
+    /// Not started, or ended as it was told to.
+    No,
+    /// It runs.
+    Yes,
+    /// It was told to end (SIGTERM) and has not yet.
+    Ending,
+}
+
+/// A span in which a gateway can't be held to its answers, since the rig began.
+#[derive(Clone, Copy, Debug)]
+pub struct Excused {
+    /// From here on,
+    pub from: Duration,
+    /// to here.
+    pub to: Duration,
+}
+
+/// A gateway.
+pub struct Gateway {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where the others are told that it is.
+    pub advertised: SocketAddr,
+    /// Where clients, operators and the other gateways reach it.
+    pub clients: Target,
+    /// The operators' door.
+    pub door: Target,
+    /// The fleet's socket.
+    pub fleet: Target,
+    /// How it stands.
+    pub running: Cell<Running>,
+    /// Ends that nobody asked for.
+    pub crashes: RefCell<Vec<String>>,
+    /// When it was killed or stood still.
+    pub excused: RefCell<Vec<Excused>>,
+    /// Lives so far.
+    pub lives: Cell<u32>,
+    /// The largest memory in bytes, and the most descriptors, that were seen.
+    pub most: Cell<(u64, usize)>,
+    /// The program; another build may be put in its place before a start.
+    pub program: RefCell<PathBuf>,
+    /// What stands in its file.
+    pub config: RefCell<Value>,
+    directory: PathBuf,
+    pid: Cell<Option<Pid>>,
+    ended: watch::Sender<u64>,
+    lines: Rc<RefCell<Vec<String>>>,
+    heard: watch::Sender<u64>,
+    began: Instant,
+}
+
+fn nowhere() -> Target {
+    Rc::new(Cell::new(SocketAddr::from(([127, 0, 0, 1], 1))))
+}
+
+impl Gateway {
+    /// One that does not run yet. Its file and logs go to `directory`.
+    pub fn new(
+        name: &str,
+        zone: &str,
+        advertised: SocketAddr,
+        program: &Path,
+        directory: &Path,
+        began: Instant,
+    ) -> Rc<Gateway> {
+        Rc::new(Gateway {
+            name: name.to_string(),
+            zone: zone.to_string(),
+            advertised,
+            clients: nowhere(),
+            door: nowhere(),
+            fleet: nowhere(),
+            running: Cell::new(Running::No),
+            crashes: RefCell::default(),
+            excused: RefCell::default(),
+            lives: Cell::new(0),
+            most: Cell::new((0, 0)),
+            program: RefCell::new(program.to_path_buf()),
+            config: RefCell::new(json!({})),
+            directory: directory.to_path_buf(),
+            pid: Cell::new(None),
+            ended: watch::Sender::new(0),
+            lines: Rc::default(),
+            heard: watch::Sender::new(0),
+            began,
+        })
+    }
+
+    /// Starts it and waits until it listens.
+    pub async fn start(self: &Rc<Self>) -> Result<(), String> {
+        if self.running.get() != Running::No {
+            return Err(format!("{} runs already", self.name));
+        }
+        let life = self.lives.get() + 1;
+        self.lives.set(life);
+        let told = |error: std::io::Error| format!("{}: {error}", self.name);
+        let file = self.directory.join(format!("{}.json", self.name));
+        std::fs::write(&file, self.config.borrow().to_string()).map_err(told)?;
+        let mut command = Command::new(&*self.program.borrow());
+        command.arg("run").env("NODE_CONFIG", &file).stdin(Stdio::null()).stdout(Stdio::null());
+        for name in ["NODE_LISTEN", "NODE_DISCOVERY", "NODE_NAME"] {
+            command.env_remove(name);
+        }
+        let mut child = command.stderr(Stdio::piped()).kill_on_drop(true).spawn().map_err(told)?;
+        let Some(stderr) = child.stderr.take() else { return Err(format!("{}: no log", self.name)) };
+        self.pid.set(child.id().and_then(|id| i32::try_from(id).ok()).map(Pid::from_raw));
+        self.running.set(Running::Yes);
+        self.lines.borrow_mut().clear();
+        let path = self.directory.join(format!("{}-{life}.log", self.name));
+        let log = std::fs::File::create(path).map_err(told)?;
+        let (lines, heard) = (self.lines.clone(), self.heard.clone());
+        let reading = spawn_local(read(BufReader::new(stderr), log, lines, heard));
+        let gateway = self.clone();
+        spawn_local(async move { gateway.watch(child, reading).await });
+        let fleet = self.config.borrow().get("fleet").is_some();
+        for (line, target) in [
+            ("fleet: joining", &self.fleet),
+            ("the operators' door is open", &self.door),
+            ("listening", &self.clients),
+        ] {
+            if line.contains("fleet") && !fleet {
+                continue;
+            }
+            let line = self.line(line, START).await?;
+            let key = if line.contains("fleet: joining") { "listen=" } else { "address=" };
+            let address = line.split(key).nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+            target.set(address.ok_or_else(|| format!("{}: no address in '{line}'", self.name))?);
+        }
+        Ok(())
+    }
+
+    async fn watch(&self, mut child: Child, reading: tokio::task::JoinHandle<()>) {
+        let status = child.wait().await;
+        let _ = reading.await;
+        let expected = match self.running.replace(Running::No) {
+            Running::Ending => status.as_ref().is_ok_and(|status| status.success()),
+            // A kill sets it before.
+            Running::No => true,
+            Running::Yes => false,
+        };
+        if !expected {
+            let last = self.lines.borrow().last().cloned().unwrap_or_default();
+            let at = self.began.elapsed().as_secs_f64();
+            self.crashes.borrow_mut().push(format!("{} at {at:.2} s: {status:?}: {last}", self.name));
+        }
+        self.pid.set(None);
+        self.ended.send_modify(|ends| *ends += 1);
+    }
+
+    /// The first line of its present log with this in it.
+    pub async fn line(&self, part: &str, patience: Duration) -> Result<String, String> {
+        let mut heard = self.heard.subscribe();
+        let mut ended = self.ended.subscribe();
+        let finding = async {
+            loop {
+                let found = self.lines.borrow().iter().find(|line| line.contains(part)).cloned();
+                if let Some(line) = found {
+                    return Ok(line);
+                }
+                tokio::select! {
+                    _ = heard.changed() => {}
+                    _ = ended.changed() => {
+                        let last = self.lines.borrow().last().cloned().unwrap_or_default();
+                        return Err(format!("{} ended before '{part}': {last}", self.name));
+                    }
+                }
+            }
+        };
+        let late = || Err(format!("{}: no line with '{part}' in {patience:?}", self.name));
+        timeout(patience, finding).await.unwrap_or_else(|_| late())
+    }
+
+    /// Its process, where it runs.
+    pub fn pid(&self) -> Option<i32> {
+        self.pid.get().map(Pid::as_raw)
+    }
+
+    /// How many lines of its present log have this in them.
+    pub fn lines_with(&self, part: &str) -> usize {
+        self.lines.borrow().iter().filter(|line| line.contains(part)).count()
+    }
+
+    fn signal(&self, signal: Signal) -> Result<(), String> {
+        let pid = self.pid.get().ok_or_else(|| format!("{} does not run", self.name))?;
+        kill(pid, signal).map_err(|error| format!("{}: {error}", self.name))
+    }
+
+    /// Kills it (SIGKILL) and waits for its end.
+    pub async fn kill(&self) -> Result<(), String> {
+        self.excuse(Duration::ZERO);
+        self.running.set(Running::No);
+        self.signal(Signal::SIGKILL)?;
+        self.wait_for_end().await;
+        Ok(())
+    }
+
+    /// Tells it to end (SIGTERM); does not wait.
+    pub fn terminate(&self) -> Result<(), String> {
+        self.running.set(Running::Ending);
+        self.signal(Signal::SIGTERM)
+    }
+
+    /// Waits until it has ended.
+    pub async fn wait_for_end(&self) {
+        let mut ended = self.ended.subscribe();
+        while self.pid.get().is_some() {
+            if ended.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Stops it in its tracks (SIGSTOP).
+    pub fn stop(&self) -> Result<(), String> {
+        self.excuse(Duration::MAX);
+        self.signal(Signal::SIGSTOP)
+    }
+
+    /// Lets it go on (SIGCONT).
+    pub fn resume(&self) -> Result<(), String> {
+        let now = self.began.elapsed();
+        self.excused.borrow_mut().iter_mut().filter(|e| e.to > now).for_each(|e| e.to = now);
+        self.signal(Signal::SIGCONT)
+    }
+
+    /// Tells it to read its file again (SIGHUP).
+    pub fn reload(&self) -> Result<(), String> {
+        let told = |error: std::io::Error| format!("{}: {error}", self.name);
+        let file = self.directory.join(format!("{}.json", self.name));
+        std::fs::write(file, self.config.borrow().to_string()).map_err(told)?;
+        self.signal(Signal::SIGHUP)
+    }
+
+    fn excuse(&self, span: Duration) {
+        let from = self.began.elapsed();
+        self.excused.borrow_mut().push(Excused { from, to: from.saturating_add(span) });
+    }
+
+    /// Notes its memory and descriptors.
+    pub fn sample(&self) {
+        let Some(pid) = self.pid.get() else { return };
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|rest| rest.split_whitespace().next()?.parse::<u64>().ok()).unwrap_or(0);
+        let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, |fds| fds.count());
+        let (memory, most) = self.most.get();
+        self.most.set((memory.max(kib * 1024), most.max(descriptors)));
+    }
+
+    /// The processor time that its present life has used, in seconds; nothing where it does not run.
+    pub fn cpu(&self) -> Option<f64> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.pid.get()?)).ok()?;
+        let fields: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
+        // Fields 14 and 15 of proc(5), in the hundredths of a second that Linux tells.
+        let ticks = |at: usize| fields.get(at)?.parse::<f64>().ok();
+        Some((ticks(11)? + ticks(12)?) / 100.0)
+    }
+
+    /// What it says at a path of its operators' door, as JSON.
+    pub async fn ask(&self, path: &str) -> Result<Value, String> {
+        let (status, body) = crate::http::get(self.door.get(), path).await?;
+        match status {
+            200 => serde_json::from_slice(&body).map_err(|e| format!("{}: {e}", self.name)),
+            status => Err(format!("{}: {path} answered {status}", self.name)),
+        }
+    }
+}
+
+async fn read(
+    stderr: BufReader<tokio::process::ChildStderr>,
+    mut log: std::fs::File,
+    kept: Rc<RefCell<Vec<String>>>,
+    heard: watch::Sender<u64>,
+) {
+    use std::io::Write;
+    let mut lines = stderr.lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        // A full disk loses a log and no experiment.
+        let _ = writeln!(log, "{line}");
+        let mut kept = kept.borrow_mut();
+        if kept.len() >= KEPT {
+            kept.drain(..KEPT / 2);
+        }
+        kept.push(line);
+        heard.send_modify(|lines| *lines += 1);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/stand_in/discovery.rs
@@ -0,0 +1,117 @@
+//! Discovery: the list of backends with revisions and held watches, at a door of each gateway's own, where every
+//! backend has the address by which that gateway reaches it.
+
+use super::backend::Backend;
+use super::{parameter, Door};
+use crate::http::{answer, Answer};
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use serde_json::{json, Value};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{timeout, Instant};
+
+/// A watch holds so long at the most.
+const LONGEST_MS: u64 = 60_000;
+
+/// One entry and the revision of its last change.
+struct Entry {
+    backend: Rc<Backend>,
+    phase: &'static str,
+    changed: u64,
+}
+
+/// The list, for all gateways.
+pub struct Discovery {
+    entries: RefCell<Vec<Entry>>,
+    revision: watch::Sender<u64>,
+    /// When each gateway was first written that a backend takes nothing more.
+    pub told_drained: RefCell<HashMap<(String, String), Duration>>,
+    began: Instant,
+}
+
+/// The addresses by which one gateway reaches the backends.
+pub type Routes = HashMap<String, SocketAddr>;
+
+impl Discovery {
+    /// A list with these backends, all ready.
+    pub fn new(backends: &[Rc<Backend>], began: Instant) -> Rc<Discovery> {
+        let entry = |backend: &Rc<Backend>| Entry { backend: backend.clone(), phase: "ready", changed: 1 };
+        let entries = RefCell::new(backends.iter().map(entry).collect());
+        let (revision, told_drained) = (watch::Sender::new(1), RefCell::default());
+        Rc::new(Discovery { entries, revision, told_drained, began })
+    }
+
+    /// Opens a gateway's door.
+    pub async fn open(self: &Rc<Self>, door: &Door, gateway: &str, routes: Rc<Routes>) -> io::Result<()> {
+        let (discovery, gateway) = (self.clone(), gateway.to_string());
+        door.open(move |request| discovery.clone().serve(request, gateway.clone(), routes.clone())).await
+    }
+
+    /// A backend is `ready`, `draining` or `gone` from now on; its start time is told anew.
+    pub fn set(&self, backend: &str, phase: &'static str) {
+        let revision = *self.revision.borrow() + 1;
+        let mut entries = self.entries.borrow_mut();
+        for entry in entries.iter_mut().filter(|entry| entry.backend.id == backend) {
+            (entry.phase, entry.changed) = (phase, revision);
+        }
+        drop(entries);
+        if phase == "ready" {
+            self.told_drained.borrow_mut().retain(|(_, id), _| id != backend);
+        }
+        self.revision.send_replace(revision);
+    }
+
+    /// Whether a backend takes work by the list.
+    pub fn is_ready(&self, backend: &str) -> bool {
+        self.entries.borrow().iter().any(|entry| entry.backend.id == backend && entry.phase == "ready")
+    }
+
+    async fn serve(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        gateway: String,
+        routes: Rc<Routes>,
+    ) -> Option<Answer> {
+        if request.uri().path() != "/catalog/members" {
+            return Some(answer(StatusCode::NOT_FOUND, ""));
+        }
+        let query = request.uri().query().unwrap_or_default();
+        let from = parameter(query, "from").and_then(|from| from.parse::<u64>().ok());
+        let hold = parameter(query, "hold_ms").and_then(|hold| hold.parse::<u64>().ok()).unwrap_or(0);
+        let mut revision = self.revision.subscribe();
+        if let Some(from) = from {
+            let hold = Duration::from_millis(hold.min(LONGEST_MS));
+            // Where its time is over, it answers without news.
+            let _ = timeout(hold, revision.wait_for(|revision| *revision > from)).await;
+        }
+        let list = self.list(from, &gateway, &routes);
+        Some(answer(StatusCode::OK, list.to_string()))
+    }
+
+    fn list(&self, from: Option<u64>, gateway: &str, routes: &Routes) -> Value {
+        let entries = self.entries.borrow();
+        let wanted = entries.iter().filter(|entry| match from {
+            Some(from) => entry.changed > from,
+            None => entry.phase != "gone",
+        });
+        let members = wanted.filter_map(|entry| {
+            let backend = &entry.backend;
+            if entry.phase != "ready" {
+                let key = (gateway.to_string(), backend.id.clone());
+                self.told_drained.borrow_mut().entry(key).or_insert_with(|| self.began.elapsed());
+            }
+            Some(json!({
+                "id": backend.id, "host_port": routes.get(&backend.id)?, "locality": backend.zone, "flavor": "m",
+                "cell": 0, "phase": entry.phase, "size": 1.0, "up_since_ms": backend.up_since_ms.get(),
+            }))
+        });
+        let members: Vec<Value> = members.collect();
+        json!({ "revision": *self.revision.borrow(), "complete": from.is_none(), "members": members })
+    }
+}
