Bounds of local shares under a split, wrong fleet sections, and lanespan-lab presence

Four modules with a silent counter let in 1.0 of the quota with whole sets, and at most 1.25 and 4/3 of it (and the floor of one request a gateway) where three in four or all believe in a majority: asserted, so that the stated bounds hold in the module. Wrong fleet sections are told with key and value, and a changed one at SIGHUP as needing a restart.

--- a/crates/fleet/tests/presence.rs
+++ b/crates/fleet/tests/presence.rs
@@ -291,7 +291,7 @@
     net.inject(0, &swim(presence(&net, 1).me().clone(), &rest));
     assert_eq!(presence(&net, 0).counts().dropped[0], 1, "it was read");
     let view = presence(&net, 0).view();
-    assert!(view.members.iter().all(|row| row.facts.told.get("ready").is_none()));
+    assert!(view.members.iter().all(|row| !row.facts.told.contains_key("ready")));
 }
 
 #[test]
--- a/crates/lab/src/checks.rs
+++ b/crates/lab/src/checks.rs
@@ -151,7 +151,7 @@
 /// arrived.
 pub fn quotas(arrivals: &[Arrival], (rate, burst): (f64, f64)) -> (f64, f64) {
     let mut first = arrivals.to_vec();
-    first.sort_by(|a, b| a.at.cmp(&b.at));
+    first.sort_by_key(|a| a.at);
     let mut seen = BTreeSet::new();
     let mut stores = HashMap::<u64, (f64, Duration)>::new();
     let (mut inside, mut beyond) = (0.0, 0.0);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod links;
 pub mod load;
+pub mod measure;
 pub mod report;
 pub mod rig;
 pub mod stand_in;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -137,7 +137,10 @@
 pub fn plan(load: &Load, span: Duration, seed: u64) -> Vec<Due> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let (mut at, mut dues) = (0.0, Vec::new());
-    while load.rate > 0.0 {
+    if load.rate <= 0.0 {
+        return dues;
+    }
+    loop {
         at += -(1.0 - rng.f64()).ln() / load.rate;
         if at >= span.as_secs_f64() {
             break;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use lanespan_lab::broken;
 use lanespan_lab::experiment::Experiment;
+use lanespan_lab::measure;
 use lanespan_lab::report::Report;
 use lanespan_lab::rig::{play, Rig};
 use std::path::{Path, PathBuf};
@@ -33,6 +34,22 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// Measure what presence costs and how soon a kill is known
+    #[command(after_help = "Example:\n  lanespan-lab presence --members 3,12,30,300 --seeds 3")]
+    Presence {
+        /// How many gateways, a list
+        #[arg(long, value_delimiter = ',', default_value = "3,12,30")]
+        members: Vec<usize>,
+        /// How many seeds, for those in simulation
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+        /// How many members in a hundred are slow, in simulation
+        #[arg(long, default_value_t = 0)]
+        slow: usize,
+        /// With real processes of this program, not in simulation
+        #[arg(long)]
+        real: Option<PathBuf>,
+    },
     /// Stand in for a gateway that is broken on purpose, as `broken` in its file names it
     #[command(hide = true)]
     Run {
@@ -48,6 +65,9 @@
             print!("{}", report.text());
             report.holds()
         }),
+        Command::Presence { members, seeds, slow, real } => {
+            presence(&members, seeds, slow, real).map(|()| true)
+        }
         Command::Run { config } => stand_in(&config).map(|()| true),
     };
     match done {
@@ -60,6 +80,27 @@
     }
 }
 
+fn presence(members: &[usize], seeds: u64, slow: usize, real: Option<PathBuf>) -> Result<(), String> {
+    if let Some(program) = real {
+        println!("{}", measure::REAL);
+        for count in members {
+            let out = temporary().join(count.to_string());
+            println!("{}", play(measure::real(*count, &program, &out))?);
+        }
+        return Ok(());
+    }
+    println!("{}", measure::SIMULATED);
+    for (count, seed) in members.iter().flat_map(|count| (1..=seeds).map(move |seed| (*count, seed))) {
+        println!("{}", measure::simulated(count, seed, slow));
+    }
+    Ok(())
+}
+
+/// A folder for the files of this process.
+fn temporary() -> PathBuf {
+    std::env::temp_dir().join(format!("lanespan-lab-{}", std::process::id()))
+}
+
 fn stand_in(config: &Path) -> Result<(), String> {
     let text = std::fs::read_to_string(config).map_err(|error| error.to_string())?;
     let config = serde_json::from_str(&text).map_err(|error| error.to_string())?;
@@ -78,8 +119,7 @@
     let beside = || std::env::current_exe().ok().map(|own| own.with_file_name("lanespan"));
     let program = program.or_else(beside).filter(|program| program.exists());
     let program = program.ok_or("no gateway program: build it or name it with --lanespan")?;
-    let out =
-        out.unwrap_or_else(|| std::env::temp_dir().join(format!("lanespan-lab-{}", std::process::id())));
+    let out = out.unwrap_or_else(temporary);
     play(async {
         let rig = Rig::start(&experiment, &program, &out).await?;
         // Ctrl-C ends the run; what was played is reported.
--- /dev/null
+++ b/crates/lab/src/measure.rs
@@ -0,0 +1,121 @@
+//! What presence costs and how soon it knows, over virtual networks of many sizes and over real processes.
+
+use crate::experiment::{Act, Experiment};
+use crate::rig::Rig;
+use lanespan_fleet::presence::{Presence, Settings};
+use lanespan_fleet::sim::{Net, SECOND};
+use lanespan_fleet::view::Standing;
+use std::fmt::Write as _;
+use std::path::Path;
+use std::time::Duration;
+use tokio::time::{sleep, Instant};
+
+/// How long the fleet is watched at rest, in seconds.
+const REST: u64 = 60;
+/// How long a kill may take to be known.
+const PATIENCE: Duration = Duration::from_secs(120);
+
+/// The head of the table that `simulated` fills.
+pub const SIMULATED: &str =
+    "members  seed  first s  all s  false suspicions  lost falsely  datagrams/s  bytes/s  exchanges";
+
+fn settings() -> Settings {
+    let (cluster, peers, via) = ("measure".to_string(), Vec::new(), Default::default());
+    Settings { cluster, probe: SECOND, forget: 3_600 * SECOND, most: 4_000, peers, via }
+}
+
+fn total(net: &Net, of: fn(&Presence) -> u64) -> u64 {
+    net.running().map(|(_, presence)| of(presence)).sum()
+}
+
+/// One row: a fleet at rest, of which `slow` members in a hundred stand still for 800 ms every 3 s, then a kill.
+pub fn simulated(members: usize, seed: u64, slow: usize) -> String {
+    let mut net = Net::settled(members, settings(), seed);
+    let slow_ones: Vec<usize> = (1..members).step_by(100 / slow.max(1)).filter(|_| slow > 0).collect();
+    let sent = |net: &Net| (total(net, |p| p.counts().sent.0), total(net, |p| p.counts().sent.1));
+    let (before, pulls) = (sent(&net), total(&net, |p| p.counts().pulls.0));
+    let rest_from = net.now();
+    for _ in 0..REST / 3 {
+        slow_ones.iter().for_each(|i| net.stall(*i, SECOND * 4 / 5));
+        net.run(3 * SECOND);
+    }
+    let after = sent(&net);
+    let load = |from: u64, to: u64| (to - from) as f64 / (members as f64 * REST as f64);
+    let exchanges = total(&net, |p| p.counts().pulls.0) - pulls;
+    let new = || net.members.iter().flat_map(|member| &member.changes).filter(|(at, _)| *at > rest_from);
+    let at_rest = |standing: Standing| {
+        let names = new().filter(|(_, c)| c.now == standing).map(|(_, c)| (&c.node.name, c.node.incarnation));
+        names.collect::<std::collections::BTreeSet<_>>().len()
+    };
+    let (suspected, lost) = (at_rest(Standing::Suspect), at_rest(Standing::Lost));
+    net.kill(0);
+    let of_it = |net: &Net, i: usize| {
+        let changes = net.members[i].changes.iter().rev();
+        let last = changes.map(|(_, c)| c).find(|c| c.node.name == "g0");
+        last.is_some_and(|c| c.now == Standing::Lost)
+    };
+    let first = net.until(300 * SECOND, |net| net.running().any(|(i, _)| of_it(net, i)));
+    let rest = net.until(300 * SECOND, |net| net.running().all(|(i, _)| of_it(net, i)));
+    let seconds =
+        |micros: Option<u64>| micros.map_or("-".to_string(), |at| format!("{:.2}", at as f64 / 1e6));
+    let all = first.zip(rest).map(|(first, rest)| first + rest);
+    format!(
+        "{members:>7}  {seed:>4}  {:>7}  {:>5}  {suspected:>16}  {lost:>12}  {:>11.1}  {:>7.0}  {exchanges:>9}",
+        seconds(first),
+        seconds(all),
+        load(before.0, after.0),
+        load(before.1, after.1),
+    )
+}
+
+/// A fleet of real processes with the default period of probes: its cost at rest, then a kill.
+pub async fn real(gateways: usize, program: &Path, directory: &Path) -> Result<String, String> {
+    let text = format!(
+        "shows = \"a measurement\"\nseconds = 1.0\nregions = {{ north = [\"a\", \"b\"], south = [\"c\"] }}\n\
+         gateways = {{ count = {gateways}, probe_ms = 1000 }}\nbackends = {{ count = 1 }}\n"
+    );
+    let rig = Rig::start(&Experiment::read(&text)?, program, directory).await?;
+    let figures = || async {
+        let mut figures = (0.0, 0.0);
+        for gateway in &rig.gateways {
+            let (_, told) = crate::http::get(gateway.door.get(), "/metrics").await?;
+            let told = String::from_utf8_lossy(&told).into_owned();
+            let figure = |name: &str| {
+                told.lines().find_map(|line| line.strip_prefix(name)?.trim().parse::<f64>().ok())
+            };
+            figures.0 += figure("lanespan_fleet_datagrams_sent_total").unwrap_or(f64::NAN);
+            figures.1 += figure("lanespan_fleet_bytes_sent_total").unwrap_or(f64::NAN);
+        }
+        Ok::<_, String>(figures)
+    };
+    let cpu = || rig.gateways.iter().filter_map(|gateway| gateway.cpu()).sum::<f64>();
+    let (before, cpu_before, from) = (figures().await?, cpu(), Instant::now());
+    sleep(Duration::from_secs(20)).await;
+    let span = from.elapsed().as_secs_f64() * gateways as f64;
+    let (after, cpu_after) = (figures().await?, cpu());
+    rig.gateways.iter().for_each(|gateway| gateway.sample());
+    let memory = rig.gateways.iter().map(|gateway| gateway.most.get().0).max().unwrap_or(0);
+    let killed = Instant::now();
+    rig.act(&Act::Kill(vec!["g0".to_string()])).await?;
+    let knowing = || rig.gateways[1..].iter().filter(|g| g.lines_with("fleet: lost name=\"g0\"") > 0).count();
+    rig.wait("the first to know", PATIENCE, || knowing() > 0).await?;
+    let first = killed.elapsed();
+    rig.wait("all to know", PATIENCE, || knowing() == gateways - 1).await?;
+    let mut row = String::new();
+    // Writing to a String can't fail.
+    let _ = write!(
+        row,
+        "{gateways:>7}  {:>7.2}  {:>5.2}  {:>11.1}  {:>7.0}  {:>12.2}  {:>10.1}",
+        first.as_secs_f64(),
+        killed.elapsed().as_secs_f64(),
+        (after.0 - before.0) / span,
+        (after.1 - before.1) / span,
+        (cpu_after - cpu_before) / span * 1e3,
+        memory as f64 / f64::from(1 << 20),
+    );
+    rig.end().await;
+    Ok(row)
+}
+
+/// The head of the table that `real` fills.
+pub const REAL: &str = "members  first s  all s  datagrams/s  bytes/s  CPU ms/s each  MiB at most";
--- a/crates/lanespan/tests/command.rs
+++ b/crates/lanespan/tests/command.rs
@@ -107,6 +107,29 @@
     assert!(!told.iter().any(|line| line.contains('\n')) && told.len() >= 4, "{told:#?}");
 }
 
+#[test]
+fn a_fleet_section_that_makes_no_sense_is_told_with_key_and_value() {
+    for (section, told) in [
+        (json!({"probe_ms": 10}), "fleet.probe_ms: expected 50 or more, found 10"),
+        (json!({"most": 1}), "fleet.most: expected settings.balancers, 2, or more, found 1"),
+        (
+            json!({"listen": "0.0.0.0:7946"}),
+            "fleet.advertise: must be there where fleet.listen names no address",
+        ),
+        (json!({"join": ["here"]}), "fleet.join: expected an address and a port"),
+        (json!({"cluster": 3}), "fleet.cluster: "),
+        (json!({"joins": []}), "fleet.joins: unknown; known are listen, "),
+    ] {
+        let (code, lines) = check(&with("fleet", section).to_string());
+        assert_eq!((code, lines.len()), (Some(2), 1), "{lines:?}");
+        assert!(lines[0].contains(told), "{told}: {lines:?}");
+    }
+    let mut nameless = with("fleet", json!({}));
+    nameless["name"] = json!("");
+    let (code, lines) = check(&nameless.to_string());
+    assert!(code == Some(2) && lines[0].contains("fleet: expected a name"), "{lines:?}");
+}
+
 #[test]
 fn files_that_are_no_configuration_are_told_in_one_line() {
     let missing = PathBuf::from("/nonexistent/lanespan.toml");
@@ -191,8 +214,9 @@
     second["limits"]["sockets"] = json!(512);
     second["settings"]["balancers"] = json!(3);
     second["pool"] = json!({"wait_ms": 20});
+    second["fleet"] = json!({});
     std::fs::write(&path, second.to_string()).expect("written");
     node.signal("HUP");
     let line = node.wait_for_line("needs a restart");
-    assert!(line.contains("limits, settings") && !line.contains("pool"), "{line}");
+    assert!(line.contains("limits, fleet, settings") && !line.contains("pool"), "{line}");
 }
--- a/crates/policy/tests/breaker.rs
+++ b/crates/policy/tests/breaker.rs
@@ -174,3 +174,39 @@
     rig.pass(S);
     assert!(failing(&mut rig, 9), "the probe was given back");
 }
+
+/// Units that four gateways let in, each asked twenty times a second for a minute with the counter silent.
+fn let_in_by_four(sharing: [u32; 4]) -> f64 {
+    let let_in = sharing.map(|sharing| {
+        let mut rig = Rig::new(Settings { counter: false, gateways: 4, ..settings() }, 4);
+        let asked = (0..1_200).filter(|_| {
+            rig.pass(50 * MS);
+            let id = RequestId(rig.next);
+            rig.next += 1;
+            let deadline = Micros(rig.now + 3 * S);
+            let (customer, units) = (CustomerId(1), 1.0);
+            let arrival = Arrival { id, customer, spread: 4, sharing, deadline, units, ..Arrival::default() };
+            let out = rig.tell(Event::Request(arrival));
+            let let_in = !refused(&out, id);
+            sends(&out).iter().for_each(|(id, server)| drop(rig.ended(*id, 0, *server, Outcome::Ok)));
+            let_in
+        });
+        asked.count() as f64
+    });
+    let_in.iter().sum()
+}
+
+#[test]
+fn local_shares_follow_who_is_present_and_a_split_stays_within_its_bound() {
+    // What the quota holds in a minute, and what a share of less than one request may add at each gateway.
+    let (quota, least) = (10.0 * 60.0 + 20.0, 4.0 * 4.0);
+    let whole = let_in_by_four([4; 4]);
+    assert_eq!(whole, let_in_by_four([0; 4]), "told nothing, all of the set count");
+    assert!((0.9 * quota..quota + least).contains(&whole), "{whole}");
+    // Three in four see each other, the fourth sees nobody: 1 + (4 - 3) / 4.
+    let split = let_in_by_four([3, 3, 3, 4]);
+    assert!(split > 1.15 * whole && split < 1.25 * quota + least, "{split} of {quota}");
+    // The worst that shares of a majority can come to, whatever each believes: 4 / 3.
+    let worst = let_in_by_four([3; 4]);
+    assert!(worst < 4.0 / 3.0 * quota + least, "{worst} of {quota}");
+}
