Upload tests: wait until the backend is done with a request before its body is read

The stub notes a body only after it has answered, and the test read the note as soon as it had the answer.

--- a/crates/lanespan/tests/sockets/bodies.rs
+++ b/crates/lanespan/tests/sockets/bodies.rs
@@ -100,6 +100,8 @@
     pub head: Vec<String>,
     /// What came of its body, if all of it did.
     pub body: Option<Digest>,
+    /// What the backend did with it has ended.
+    pub over: bool,
 }
 
 /// A backend that reads bodies piece by piece, or as `act` says.
@@ -131,11 +133,13 @@
                         }
                         let number = {
                             let mut seen = seen.lock().expect("whole");
-                            seen.push(Seen { connection, head: head.clone(), body: None });
+                            seen.push(Seen { connection, head: head.clone(), body: None, over: false });
                             seen.len() - 1
                         };
                         let body = act(&mut stream, &head, number);
-                        seen.lock().expect("whole")[number].body = body;
+                        let mut seen = seen.lock().expect("whole");
+                        (seen[number].body, seen[number].over) = (body, true);
+                        drop(seen);
                         if body.is_none() {
                             return;
                         }
@@ -148,6 +152,17 @@
     pub fn seen(&self) -> Vec<Seen> {
         self.seen.lock().expect("whole").clone()
     }
+    /// The body of the last request, once the backend is done with it: its answer may be read before that.
+    pub fn last_body(&self) -> Option<Digest> {
+        let until = std::time::Instant::now() + LIMIT;
+        loop {
+            match self.seen().pop() {
+                Some(seen) if seen.over => return seen.body,
+                _ => assert!(std::time::Instant::now() < until, "it is never done"),
+            }
+            std::thread::yield_now();
+        }
+    }
 }
 
 /// Reads a body by the framing that its head names; `None` if it did not come whole.
--- a/crates/lanespan/tests/upload.rs
+++ b/crates/lanespan/tests/upload.rs
@@ -74,7 +74,7 @@
         assert_eq!(client.answer().expect("an answer").status(), 200, "{framing}");
         let seen = backend.seen().pop().expect("one");
         assert!(seen.head.contains(&framing.to_ascii_lowercase()), "{seen:?}");
-        assert_eq!(seen.body, Some(whole), "{framing}");
+        assert_eq!(backend.last_body(), Some(whole), "{framing}");
     }
     assert!(peak(&node) < 24 * MIB, "{} bytes", peak(&node));
     let seen = backend.seen();
@@ -143,7 +143,7 @@
     assert!(start.elapsed() > budget);
     client.write(&part(sent, length - sent)).expect("it goes on");
     assert_eq!(client.answer().expect("an answer").status(), 200);
-    assert_eq!(backend.seen().pop().and_then(|seen| seen.body), Some(Digest::of(length)));
+    assert_eq!(backend.last_body(), Some(Digest::of(length)));
 }
 
 #[test]
@@ -178,7 +178,7 @@
         client.send(&upload_head("once", 4000, "Transfer-Encoding: chunked"));
         client.send(chunks);
         assert_eq!(client.answer().expect("an answer").status(), 200);
-        assert_eq!(backend.seen().pop().and_then(|seen| seen.body).map(|body| body.1), Some(length));
+        assert_eq!(backend.last_body().map(|body| body.1), Some(length));
     }
     assert!(backend.seen().iter().all(|seen| !seen.head.iter().any(|line| line.starts_with("x-trailer"))));
 }
@@ -210,7 +210,7 @@
         assert_eq!(client.answer().expect("an answer").status(), status, "{class} {after}");
         let seen = backend.seen();
         assert_eq!(seen.len(), attempts, "{class} {after}");
-        assert_eq!(seen.last().and_then(|seen| seen.body), (status == 200).then(|| Digest::of(40_000)));
+        assert_eq!(backend.last_body(), (status == 200).then(|| Digest::of(40_000)));
     }
 }
 
