--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 use lanespan_lab::rig::{play, Rig};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use tokio::signal::unix::{signal, SignalKind};
 
 /// Plays experiments with fleets of gateways on loopback.
 #[derive(Parser)]
@@ -96,6 +97,18 @@
     Ok(())
 }
 
+/// Ctrl-C or SIGTERM.
+async fn told_to_end() {
+    match signal(SignalKind::terminate()) {
+        Ok(mut terminate) => tokio::select! {
+            _ = tokio::signal::ctrl_c() => {}
+            _ = terminate.recv() => {}
+        },
+        // Without it Ctrl-C is left.
+        Err(_) => drop(tokio::signal::ctrl_c().await),
+    }
+}
+
 /// A folder for the files of this process.
 fn temporary() -> PathBuf {
     std::env::temp_dir().join(format!("lanespan-lab-{}", std::process::id()))
@@ -121,11 +134,15 @@
     let program = program.ok_or("no gateway program: build it or name it with --lanespan")?;
     let out = out.unwrap_or_else(temporary);
     play(async {
-        let rig = Rig::start(&experiment, &program, &out).await?;
-        // Ctrl-C ends the run; what was played is reported.
+        let starting = Rig::start(&experiment, &program, &out);
+        let rig = tokio::select! {
+            rig = starting => rig?,
+            () = told_to_end() => return Err("interrupted before all was started".to_string()),
+        };
+        // What was played until then is reported.
         let interrupted = tokio::select! {
             ran = rig.run() => { ran?; false }
-            _ = tokio::signal::ctrl_c() => true,
+            () = told_to_end() => true,
         };
         let broken = if interrupted { Vec::new() } else { rig.check().await };
         let report = rig.report(broken);
--- a/crates/lanespan/benches/process/mod.rs
+++ b/crates/lanespan/benches/process/mod.rs
@@ -3,6 +3,9 @@
 
 use super::world::{request, Node};
 
+/// The least, the median and the most.
+pub type Spread = (f64, f64, f64);
+
 /// Rounds that are counted, requests in each, and clients that make them.
 const ROUNDS: usize = 9;
 const REQUESTS: usize = 4_000;
@@ -43,15 +46,15 @@
     });
 }
 
-/// The least, the median and the most.
-pub fn spread(mut seen: Vec<f64>) -> (f64, f64, f64) {
+/// Of what was seen.
+pub fn spread(mut seen: Vec<f64>) -> Spread {
     seen.sort_by(f64::total_cmp);
     (seen[0], seen[seen.len() / 2], seen[seen.len() - 1])
 }
 
 /// The CPU of two gateways in microseconds a request, in turn over several rounds: the spread of each, and of the
 /// second by the first, pair by pair.
-pub fn compare(nodes: [&Node; 2]) -> ([(f64, f64, f64); 2], (f64, f64, f64)) {
+pub fn compare(nodes: [&Node; 2]) -> ([Spread; 2], Spread) {
     let (mut seen, mut ratios) = ([Vec::new(), Vec::new()], Vec::new());
     // The first round is not counted.
     for round in 0..=ROUNDS {
