--- a/crates/policy/src/rules/admission.rs
+++ b/crates/policy/src/rules/admission.rs
@@ -341,7 +341,7 @@
         let left = self.room(customer, c.window.known()).max(0.0);
         let (used, silent) = (self.used(customer), self.silent(customer));
         let Some(c) = self.customers.get_mut(&customer) else { return false };
-        // Half by the gateways it comes through as far as is known, half by what this one was seen to carry: sums to one.
+        // Half by the gateways it is believed to come through, half by what this one was seen to carry.
         let carried = if c.heard.1 > 0.0 { (c.heard.0 / c.heard.1).clamp(0.0, 1.0) } else { 1.0 / c.sharing };
         let mut share = (carried + 1.0 / c.sharing) / 2.0;
         // What the other gateways were not seen to need can be had here. Guards against refusing customers
