Fleet task: tell the others once that the list is in hand, not at each turn

Reread: the task copied this gateway's facts at every datagram and timer to find that ready was told already. It keeps that it told; a comment on the rig's leavers named an incarnation that is not kept.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -80,7 +80,7 @@
     /// Runs for ever; tells the others when the list of backends is in hand, and when this gateway is to stop.
     pub async fn run(self: Rc<Fleet>, ready: Rc<Cell<bool>>, mut stopping: watch::Receiver<bool>) {
         let mut buffer = vec![0; ROOM];
-        let mut told_stop = false;
+        let (mut told_stop, mut told_ready) = (false, false);
         loop {
             let due = self.clock.instant(lanespan_policy::api::Micros(self.presence.borrow().next()));
             tokio::select! {
@@ -96,7 +96,8 @@
                     }
                 }
             }
-            if ready.get() {
+            if ready.get() && !told_ready {
+                told_ready = true;
                 self.presence.borrow_mut().tell(self.now(), READY, YES);
             }
             self.act();
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -51,7 +51,7 @@
     pub arrivals: Rc<RefCell<Vec<Arrival>>>,
     /// What was done, and when since the rig began.
     pub done: RefCell<Vec<(Duration, String)>>,
-    /// Gateways that were told to end and did, with the incarnation that the others must hold for left.
+    /// Gateways that were told to end, whom the others must hold for left.
     pub leavers: RefCell<BTreeSet<String>>,
     /// Where files and logs are.
     pub directory: PathBuf,
