Presence: each gateway tells the versions of its list and file, and compares names by hash

The audit and the agreed plan need to know which list and which configuration each gateway acts on; presence told neither. Two facts, list and file, tell them, once a probe period at most. At 1,000 members simulations took too long: foca compares addresses with all its members at each message, and each comparison cloned a name; names are compared by hash now, and the wire stays as it was. A test cuts one gateway's discovery and changes another's file, and waits for all three to know.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The longest name, zone or build, in bytes.
 pub const LONGEST_WORD: usize = 64;
@@ -36,6 +37,21 @@
     }
 }
 
+/// What stays the same over a gateway's lives: where it is reached, and its name, as a hash, since foca compares these
+/// with each of its members at each message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Address {
+    at: SocketAddr,
+    name: u64,
+}
+
+impl Address {
+    /// That of a name which is reached here.
+    pub fn of(name: &str, at: SocketAddr) -> Address {
+        Address { at, name: xxh3_64(name.as_bytes()) }
+    }
+}
+
 impl fmt::Debug for Node {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}@{}#{}", self.name, self.address, self.incarnation)
@@ -45,13 +61,13 @@
 impl foca::Identity for Node {
     /// Two processes of one name are two members, so that neither declares the other down in turn without end; the
     /// view tells which of them has the name.
-    type Addr = (String, SocketAddr);
+    type Addr = Address;
 
     fn renew(&self) -> Option<Node> {
         Some(Node { incarnation: self.incarnation.saturating_add(1), ..self.clone() })
     }
-    fn addr(&self) -> (String, SocketAddr) {
-        (self.name.clone(), self.address)
+    fn addr(&self) -> Address {
+        Address::of(&self.name, self.address)
     }
     fn win_addr_conflict(&self, other: &Node) -> bool {
         // The fields stand in this order: name and address are the same.
@@ -81,6 +97,10 @@
 pub const NUMBER: &str = "number";
 /// The fact that says whether the list of backends is in hand.
 pub const READY: &str = "ready";
+/// The fact that holds the revision of the list of backends in hand.
+pub const LIST: &str = "list";
+/// The fact that holds a digest of the configuration in force.
+pub const FILE: &str = "file";
 /// The fact of a gateway that is about to leave.
 pub const LEAVING: &str = "leaving";
 /// The value of what is so.
--- a/crates/fleet/src/presence.rs
+++ b/crates/fleet/src/presence.rs
@@ -6,7 +6,7 @@
 //! digests differ for longer than news takes exchange all rows. The same exchange joins a new member by an address
 //! alone, and reaches out to those that were lost, so that a healed partition becomes one view again.
 
-use crate::node::{Facts, Node, LEAVING, NUMBER, YES};
+use crate::node::{Address, Facts, Node, LEAVING, NUMBER, YES};
 use crate::view::{Change, MemberView, Seen, Standing, View, ZoneView};
 use crate::wire::{self, Dropped, Envelope, Kind, Row, ENVELOPE, LONGEST};
 use foca::{
@@ -93,8 +93,6 @@
     pub suspicions: u64,
 }
 
-type Address = (String, SocketAddr);
-
 /// SWIM's messages by postcard, with what is unsound refused.
 struct Sound(PostcardCodec);
 
@@ -158,7 +156,7 @@
 /// Facts on their way round.
 #[derive(Serialize, Deserialize)]
 struct Told {
-    address: Address,
+    address: (String, SocketAddr),
     incarnation: u64,
     facts: Facts,
 }
@@ -182,12 +180,13 @@
     type Error = postcard::Error;
 
     fn receive_item(&mut self, data: &[u8], sender: Option<&Node>) -> Result<Option<Whose>, postcard::Error> {
-        let Told { address, incarnation, facts } = postcard::from_bytes(data)?;
+        let Told { address: (name, at), incarnation, facts } = postcard::from_bytes(data)?;
+        let address = Address::of(&name, at);
         // What this gateway told in an earlier life is not its word now; what it tells itself has no sender.
         if sender.is_some() && address == self.own {
             return Ok(None);
         }
-        let taken = self.table.borrow_mut().take(address.clone(), incarnation, facts);
+        let taken = self.table.borrow_mut().take(address, incarnation, facts);
         Ok((taken || sender.is_none()).then_some(Whose(address)))
     }
 }
@@ -480,11 +479,12 @@
         if envelope.from == wire::key(&self.me) {
             return Err(Dropped::Own);
         }
-        let sender = self.keys.get(&envelope.from).cloned();
-        if let Some(known) = sender.as_ref().and_then(|address| self.known.get_mut(address)) {
+        let sender = self.keys.get(&envelope.from).copied();
+        let mut seen = Seen::Here;
+        if let Some(known) = sender.and_then(|address| self.known.get_mut(&address)) {
             known.digest = Some((envelope.digest, self.now));
+            seen = Seen::By(known.node.name.clone());
         }
-        let seen = sender.as_ref().map_or(Seen::Here, |(name, _)| Seen::By(name.clone()));
         match envelope.kind {
             Kind::Swim => {
                 let full = self.known.len() + GOSSIP_TO >= self.settings.most;
@@ -503,7 +503,7 @@
             Kind::Rows => self.rows(payload, seen)?,
         }
         let settled = self.now >= self.changed_at + SETTLE * self.settings.probe;
-        let present = sender.as_ref().and_then(|address| self.known.get(address));
+        let present = sender.and_then(|address| self.known.get(&address));
         let present = present.filter(|known| known.standing.is_present()).map(|known| known.node.clone());
         if let Some(node) = present.filter(|_| envelope.digest != self.digest && settled) {
             if self.now >= self.next_pull {
@@ -636,12 +636,13 @@
     }
 
     fn tell_all(&mut self, facts: Facts) {
-        let (address, incarnation) = (self.me.addr(), self.me.incarnation);
+        let (own, incarnation) = (self.me.addr(), self.me.incarnation);
         // Guards against a full table that would refuse this gateway's own.
         let mut table = self.table.borrow_mut();
-        table.rows.insert(address.clone(), (incarnation, facts.clone()));
+        table.rows.insert(own, (incarnation, facts.clone()));
         table.changed = true;
         drop(table);
+        let address = (self.me.name.clone(), self.me.address);
         if let Ok(item) = postcard::to_allocvec(&Told { address, incarnation, facts }) {
             // It fails only where the item can't be read.
             let _ = self.foca.add_broadcast(&item);
@@ -666,7 +667,7 @@
     /// Gives up who another side took for dead and who was not heard from since.
     fn doubt(&mut self) {
         let over: Vec<Address> =
-            self.doubts.iter().filter(|(_, (_, until))| self.now >= *until).map(|(a, _)| a.clone()).collect();
+            self.doubts.iter().filter(|(_, (_, until))| self.now >= *until).map(|(a, _)| *a).collect();
         for address in over {
             let Some((incarnation, until)) = self.doubts.remove(&address) else { continue };
             let Some(known) = self.known.get(&address) else { continue };
@@ -826,7 +827,7 @@
             let (seen, since, node) = (seen.clone(), self.now, node.clone());
             let (key, address) = (wire::key(&node), node.addr());
             let known = Known { node, key, standing: now, seen, since, digest: None };
-            self.keys.insert(key, address.clone());
+            self.keys.insert(key, address);
             if let Some(old) = self.known.insert(address, known).filter(|old| old.key != key) {
                 self.keys.remove(&old.key);
             }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Discovery's form of the list of backends, whole or as changes.
 #[derive(Debug, Clone, Default, Deserialize)]
@@ -80,6 +81,8 @@
     pub pool: PoolSettings,
     /// The bounds on streams; without them nothing is streamed.
     pub streaming: Option<StreamSettings>,
+    /// A digest of the whole configuration as it was understood.
+    pub file: u64,
 }
 
 impl fmt::Display for Upstreams {
@@ -286,7 +289,8 @@
     /// The services that it names.
     pub fn upstreams(&self) -> Upstreams {
         let Config { discovery, counter, pool, streaming, .. } = *self;
-        Upstreams { discovery, counter, pool, streaming }
+        let file = xxh3_64(self.shown().to_string().as_bytes());
+        Upstreams { discovery, counter, pool, streaming, file }
     }
 
     /// Where operators reach it.
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -201,6 +201,8 @@
     actions: Vec<Action>,
     /// Set once the list of backends is in hand.
     ready: Rc<Cell<bool>>,
+    /// The revision of the list in hand.
+    revision: Rc<Cell<u64>>,
     /// When the list known from before is taken for it.
     ready_at: Option<Instant>,
     /// The figures, where there is a door to see them by.
@@ -242,6 +244,7 @@
             batch: Vec::new(),
             actions: Vec::new(),
             ready,
+            revision: Rc::default(),
             ready_at: None,
             metrics,
             breaker_open: false,
@@ -264,6 +267,11 @@
         self.fleet = Some(fleet);
     }
 
+    /// The revision of the list of backends in hand; 0 before there is one.
+    pub fn revision(&self) -> Rc<Cell<u64>> {
+        self.revision.clone()
+    }
+
     /// The way in.
     pub fn inbox(&self) -> Inbox {
         self.inbox.clone()
@@ -445,6 +453,7 @@
     fn members(&mut self, list: MemberList) {
         let scope = if list.complete { ListScope::Whole } else { ListScope::Changes };
         debug!(revision = list.revision, complete = list.complete, entries = list.members.len(), "members");
+        self.revision.set(list.revision);
         let mut entries = Vec::with_capacity(list.members.len());
         for member in list.members {
             let server = self.site.server(&member.id);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -2,9 +2,9 @@
 //! and what is sent, `lanespan_fleet` says. Where a datagram can't be sent it is dropped and counted: presence is
 //! made for loss.
 
-use crate::config::FleetSettings;
+use crate::config::{FleetSettings, Upstreams};
 use crate::driver::Clock;
-use lanespan_fleet::node::{Node, LEAVING, NUMBER, READY, YES};
+use lanespan_fleet::node::{Node, FILE, LEAVING, LIST, NUMBER, READY, YES};
 use lanespan_fleet::presence::{Counts, Output, Presence, Settings};
 use lanespan_fleet::share::Shares;
 use lanespan_fleet::view::{Change, Standing, View};
@@ -26,6 +26,16 @@
 /// Longer than any datagram of the fleet's, so that one that is too long is seen to be.
 const ROOM: usize = 2_048;
 
+/// What a gateway tells the others of itself as it changes.
+pub struct Told {
+    /// The list of backends is in hand.
+    pub ready: Rc<Cell<bool>>,
+    /// Its revision.
+    pub list: Rc<Cell<u64>>,
+    /// The configuration in force.
+    pub upstreams: watch::Receiver<Upstreams>,
+}
+
 /// A gateway's place in its fleet.
 pub struct Fleet {
     socket: UdpSocket,
@@ -33,6 +43,7 @@
     shares: RefCell<Shares>,
     clock: Clock,
     hold: u64,
+    probe: u64,
     number: u32,
     gateways: u32,
     /// The view that the shares were last made from, and when.
@@ -70,6 +81,7 @@
             shares: RefCell::default(),
             clock,
             hold: micros(set.hold),
+            probe: micros(set.probe),
             number: set.number,
             gateways: set.gateways,
             shared: Cell::default(),
@@ -77,10 +89,10 @@
         }))
     }
 
-    /// Runs for ever; tells the others when the list of backends is in hand, and when this gateway is to stop.
-    pub async fn run(self: Rc<Fleet>, ready: Rc<Cell<bool>>, mut stopping: watch::Receiver<bool>) {
+    /// Runs for ever; tells the others what of this changes, and when this gateway is to stop.
+    pub async fn run(self: Rc<Fleet>, told: Told, mut stopping: watch::Receiver<bool>) {
         let mut buffer = vec![0; ROOM];
-        let (mut told_stop, mut told_ready) = (false, false);
+        let (mut told_stop, mut told_ready, mut told_at) = (false, false, None);
         loop {
             let due = self.clock.instant(lanespan_policy::api::Micros(self.presence.borrow().next()));
             tokio::select! {
@@ -96,10 +108,18 @@
                     }
                 }
             }
-            if ready.get() && !told_ready {
+            if told.ready.get() && !told_ready {
                 told_ready = true;
                 self.presence.borrow_mut().tell(self.now(), READY, YES);
             }
+            // Lists may change often; what one gateway tells, each passes on.
+            if told_at.is_none_or(|at| self.now() >= at + self.probe) {
+                told_at = Some(self.now());
+                let file = told.upstreams.borrow().file;
+                let mut presence = self.presence.borrow_mut();
+                presence.tell(self.now(), LIST, &told.list.get().to_string());
+                presence.tell(self.now(), FILE, &format!("{file:016x}"));
+            }
             self.act();
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,7 @@
 use config::{Config, Upstreams};
 use config_error::ConfigError;
 use driver::{Clock, Driver};
-use fleet::Fleet;
+use fleet::{Fleet, Told};
 use server::Front;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -87,7 +87,8 @@
         Some(set) => {
             let fleet = Fleet::start(set, clock, seed).await.map_err(|e| RunError::Listen(set.listen, e))?;
             driver.show(fleet.clone());
-            tokio::task::spawn_local(fleet.clone().run(ready.clone(), stopping.clone()));
+            let told = Told { ready: ready.clone(), list: driver.revision(), upstreams: upstreams.clone() };
+            tokio::task::spawn_local(fleet.clone().run(told, stopping.clone()));
             Some(fleet)
         }
         None => None,
--- a/crates/gateway/tests/discovery.rs
+++ b/crates/gateway/tests/discovery.rs
@@ -27,7 +27,7 @@
     let around = Around { links, links_most: links, gateways: 1, sockets: 32, dial_timeout, conn_idle };
     let pool = PoolSettings::of(&PoolSection::default(), &around).expect("defaults");
     let discovery = listener.local_addr().expect("an address");
-    let upstreams = Upstreams { discovery, counter: None, pool, streaming: None };
+    let upstreams = Upstreams { discovery, counter: None, pool, streaming: None, file: 0 };
     let (_keep, upstreams) = watch::channel(upstreams);
     let (inbox, mut inputs) = mpsc::channel(8);
     tokio::task::spawn_local(discovery::watch(upstreams, inbox, Backoff::new(1, 0), held));
--- a/crates/lanespan/tests/fleet.rs
+++ b/crates/lanespan/tests/fleet.rs
@@ -91,6 +91,34 @@
     });
 }
 
+#[test]
+fn the_versions_of_list_and_file_that_each_acts_on_are_told_to_all() {
+    with(fleet(3), |rig| async move {
+        let told = |view: &Value, name: &str, fact: &str| {
+            let row = view["members"].as_array()?.iter().find(|row| row["name"] == name)?;
+            row["facts"]["told"][fact].as_str().map(str::to_string)
+        };
+        let files = |views: &BTreeMap<String, Value>| {
+            views.values().map(|view| told(view, "g1", "file")).collect::<Vec<_>>()
+        };
+        let before = files(&rig.views().await);
+        // One gateway has its discovery cut off, another's file changes.
+        let cut = lanespan_lab::links::Fault { cut: true, ..Default::default() };
+        act(&rig, Act::Link { from: names(&["discovery"]), to: names(&["g2"]), fault: cut }).await;
+        act(&rig, Act::Drain(names(&["b0"]))).await;
+        rig.gateway(1).config.borrow_mut()["pool"] = json!({ "waiting": 77 });
+        act(&rig, Act::Reload(names(&["g1"]))).await;
+        let so = |views: &BTreeMap<String, Value>| {
+            let lists = |view: &Value| ["g0", "g1", "g2"].map(|name| told(view, name, "list"));
+            let wanted = ["2", "2", "1"].map(|list| Some(list.to_string()));
+            let changed =
+                files(views).iter().zip(&before).all(|(now, before)| now.is_some() && now != before);
+            views.len() == 3 && views.values().all(|view| lists(view) == wanted) && changed
+        };
+        rig.wait_for_views("versions told", PATIENCE, so).await.expect("they know");
+    });
+}
+
 #[test]
 fn seven_in_ten_killed_at_once_come_back_and_all_are_rolled_without_a_lost_answer() {
     with(fleet(10), |rig| async move {
