Lab: its own ceiling beside a plain echo, Ctrl-C tested, a full descriptor table survived

On the way, at 16,000, a stand-in that had no descriptor left panicked (select! in http.rs took a failed accept for the end of all branches); it waits and goes on now. The test for Ctrl-C finds the report and no process and no port left.

--- a/crates/lab/src/http.rs
+++ b/crates/lab/src/http.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, JoinSet};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// The longest body that is read.
 const LONGEST: usize = 4 << 20;
@@ -40,7 +40,14 @@
     let mut connections = JoinSet::new();
     loop {
         let stream = tokio::select! {
-            Ok((stream, _)) = listener.accept() => stream,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                // No descriptor is left, most likely; one comes back as connections end.
+                Err(_) => {
+                    sleep(Duration::from_millis(5)).await;
+                    continue;
+                }
+            },
             Some(_) = connections.join_next() => continue,
         };
         // It fails only on a connection that is gone.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -51,6 +51,16 @@
         #[arg(long)]
         real: Option<PathBuf>,
     },
+    /// Measure what the rig itself bears, beside a plain echo
+    #[command(after_help = "Example:\n  lanespan-lab ceiling")]
+    Ceiling {
+        /// The gateway program; by default `lanespan` beside this one
+        #[arg(long)]
+        lanespan: Option<PathBuf>,
+        /// From which the load is drawn
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Stand in for a gateway that is broken on purpose, as `broken` in its file names it
     #[command(hide = true)]
     Run {
@@ -69,6 +79,7 @@
         Command::Presence { members, seeds, slow, real } => {
             presence(&members, seeds, slow, real).map(|()| true)
         }
+        Command::Ceiling { lanespan, seed } => ceiling(lanespan, seed).map(|()| true),
         Command::Run { config } => stand_in(&config).map(|()| true),
     };
     match done {
@@ -97,6 +108,20 @@
     Ok(())
 }
 
+/// The gateway program.
+fn gateway(named: Option<PathBuf>) -> Result<PathBuf, String> {
+    let beside = || std::env::current_exe().ok().map(|own| own.with_file_name("lanespan"));
+    let program = named.or_else(beside).filter(|program| program.exists());
+    program.ok_or_else(|| "no gateway program: build it or name it with --lanespan".to_string())
+}
+
+fn ceiling(program: Option<PathBuf>, seed: u64) -> Result<(), String> {
+    let program = gateway(program)?;
+    println!("{}", measure::CEILING);
+    play(measure::ceiling(&program, &temporary(), seed))?.iter().for_each(|row| println!("{row}"));
+    Ok(())
+}
+
 /// Ctrl-C or SIGTERM.
 async fn told_to_end() {
     match signal(SignalKind::terminate()) {
@@ -129,9 +154,7 @@
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
     let mut experiment = Experiment::read(&text).map_err(|e| format!("{}: {e}", file.display()))?;
     experiment.seed = seed.unwrap_or(experiment.seed);
-    let beside = || std::env::current_exe().ok().map(|own| own.with_file_name("lanespan"));
-    let program = program.or_else(beside).filter(|program| program.exists());
-    let program = program.ok_or("no gateway program: build it or name it with --lanespan")?;
+    let program = gateway(program)?;
     let out = out.unwrap_or_else(temporary);
     play(async {
         let starting = Rig::start(&experiment, &program, &out);
@@ -139,6 +162,7 @@
             rig = starting => rig?,
             () = told_to_end() => return Err("interrupted before all was started".to_string()),
         };
+        println!("playing; logs in {}", out.display());
         // What was played until then is reported.
         let interrupted = tokio::select! {
             ran = rig.run() => { ran?; false }
@@ -150,7 +174,7 @@
         let json = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
         let path = out.join("report.json");
         std::fs::write(&path, json).map_err(|e| format!("{}: {e}", path.display()))?;
-        println!("logs and report.json in {}", out.display());
+        println!("report in {}", path.display());
         match interrupted {
             true => Err("interrupted; report.json holds what was played".to_string()),
             false => Ok(report),
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -1,7 +1,12 @@
 //! What presence costs and how soon it knows, over virtual networks of many sizes and over real processes.
 
 use crate::experiment::{Act, Experiment};
+use crate::gateway::Gateway;
+use crate::http::answer;
+use crate::load::{plan, Fate, Generator, Ledger};
 use crate::rig::Rig;
+use crate::stand_in::Door;
+use hyper::StatusCode;
 use lanespan_fleet::presence::{Presence, Settings};
 use lanespan_fleet::sim::{Net, SECOND};
 use lanespan_fleet::view::Standing;
@@ -118,5 +123,57 @@
     Ok(row)
 }
 
+/// The head of the table that `ceiling` fills.
+pub const CEILING: &str =
+    "asked/s  of          due to sent, ms, 99 of 100  due to answer, ms, 50  99  served  valid";
+
+/// The rig's own ceiling: one generator before a plain echo, and before three gateways with all their relays and
+/// stand-ins, at ever higher rates until it is too late for either. Two rows a rate.
+pub async fn ceiling(program: &Path, directory: &Path, seed: u64) -> Result<Vec<String>, String> {
+    let (mut rows, mut rate, mut valid) = (Vec::new(), 250, true);
+    while valid && rate < 1_000_000 {
+        let text = format!(
+            "shows = \"a measurement\"\nseconds = 3.0\nseed = {seed}\nregions = {{ north = [\"a\"] }}\n\
+             gateways = {{ count = 3, fleet = false }}\nbackends = {{ count = 6, slots = 64, mean_ms = 2 }}\n\
+             load = {{ customers = 1000, quota = [1000.0, 1000.0] }}\n"
+        );
+        let mut experiment = Experiment::read(&text)?;
+        // Beyond what a file may ask for.
+        experiment.load.rate = f64::from(rate);
+        let rig = Rig::start(&experiment, program, &directory.join(rate.to_string())).await?;
+        rig.run().await?;
+        let told = row(rate, "the rig", &rig.ledger);
+        rig.end().await;
+        let echo = Door::default();
+        echo.open(|_| async { Some(answer(StatusCode::OK, "")) }).await.map_err(|e| e.to_string())?;
+        let began = Instant::now();
+        let target = Gateway::new("echo", "a", echo.target.get(), program, directory, began);
+        target.clients.set(echo.target.get());
+        let ledger = Ledger::new();
+        let generator = Generator::new(&[target], &experiment.load, ledger.clone(), began);
+        generator.play(plan(&experiment.load, experiment.span(), seed)).await;
+        // Beyond what the echo bears, the rig is not looked at any more.
+        valid = !ledger.was_late();
+        rows.extend([row(rate, "plain echo", &ledger), told]);
+        rate *= 2;
+    }
+    Ok(rows)
+}
+
+fn row(rate: u32, of: &str, ledger: &Ledger) -> String {
+    let asked = ledger.asked.borrow();
+    let served = asked.iter().filter(|asked| matches!(asked.fate, Fate::Served(_))).count();
+    let (times, lateness) = (ledger.times.borrow(), ledger.lateness.borrow());
+    let ms = |micros: u64| micros as f64 / 1e3;
+    format!(
+        "{rate:>7}  {of:<10}  {:>26.2}  {:>21.2}  {:>6.2}  {:>6.3}  {}",
+        ms(lateness.value_at_quantile(0.99)),
+        ms(times.value_at_quantile(0.5)),
+        ms(times.value_at_quantile(0.99)),
+        served as f64 / asked.len().max(1) as f64,
+        if ledger.was_late() { "no" } else { "yes" },
+    )
+}
+
 /// The head of the table that `real` fills.
 pub const REAL: &str = "members  first s  all s  datagrams/s  bytes/s  CPU ms/s each  MiB at most";
--- a/crates/lab/tests/catches.rs
+++ b/crates/lab/tests/catches.rs
@@ -4,9 +4,14 @@
 use lanespan_lab::experiment::{Act, Experiment};
 use lanespan_lab::load::plan;
 use lanespan_lab::rig::{play, Rig};
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
 use serde_json::json;
 use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
@@ -138,3 +143,42 @@
         }
     }
 }
+
+#[test]
+fn ctrl_c_ends_a_run_with_a_report_and_leaves_no_process_and_no_port() {
+    let out = directory("interrupted");
+    std::fs::create_dir_all(&out).expect("a folder");
+    let file = out.join("long.toml");
+    std::fs::write(&file, LIGHT.replace("seconds = 2.0", "seconds = 600.0")).expect("written");
+    let lab = env!("CARGO_BIN_EXE_lanespan-lab");
+    // The broken gateways of the lab stand in for gateways, whose build this package does not wait for.
+    let mut playing = Command::new(lab)
+        .args(["fleet", "--lanespan", lab, "--out"])
+        .args([&out, &file])
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let mut lines = BufReader::new(playing.stdout.take().expect("its words")).lines();
+    let first = lines.next().expect("a line").expect("text");
+    assert!(first.starts_with("playing"), "{first}");
+    let address = |log: &str| {
+        let log = std::fs::read_to_string(out.join(log)).expect("a log");
+        let line = log.lines().find(|line| line.contains("listening")).expect("it listens").to_string();
+        let word = line.split("address=").nth(1).and_then(|rest| rest.split(' ').next());
+        word.and_then(|word| word.parse::<SocketAddr>().ok()).expect("an address")
+    };
+    let addresses = ["g0-1.log", "g1-1.log"].map(address);
+    assert!(addresses.iter().all(|address| TcpStream::connect(address).is_ok()));
+    let pid = Pid::from_raw(i32::try_from(playing.id()).expect("a process"));
+    kill(pid, Signal::SIGINT).expect("it runs");
+    assert_eq!(playing.wait().expect("it ends").code(), Some(2));
+    let report = std::fs::read_to_string(out.join("report.json")).expect("a report");
+    assert!(report.contains("\"timeline\""), "{report}");
+    for address in addresses {
+        assert!(TcpStream::connect(address).is_err(), "{address} is still open");
+    }
+    let own = out.to_string_lossy().into_owned();
+    let processes = std::fs::read_dir("/proc").expect("Linux").flatten();
+    let left = processes.filter_map(|entry| std::fs::read(entry.path().join("environ")).ok());
+    assert_eq!(left.filter(|told| String::from_utf8_lossy(told).contains(&own)).count(), 0);
+}
