Plan: the document, voters on Raft, leases with fencing tokens, as pure state machines

Failover, the audit and work orders need decisions that every gateway can name by number. crates/fleet/src/plan holds the document (generic items, compare and set, one application a proposal), a copy that followers bring up to date by entries or state, one voter over the crate raft with its log, leases, and a virtual network with disks.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! request's path.
 
 pub mod node;
+pub mod plan;
 pub mod presence;
 pub mod share;
 pub mod sim;
--- /dev/null
+++ b/crates/fleet/tests/plan.rs
@@ -0,0 +1,467 @@
+//! The plan among voters on a virtual network with faults, over many seeds.
+
+use lanespan_fleet::plan::document::{Document, Grant, Proposal, Refusal, Token, Verdict, DUTIES, SCHEMA};
+use lanespan_fleet::plan::duty::{Candidate, Held, Leases, Receiver, ALL};
+use lanespan_fleet::plan::log::Durable;
+use lanespan_fleet::plan::replica::{News, Replica, Unusable};
+use lanespan_fleet::plan::sim::Net;
+use lanespan_fleet::plan::trust::Trust;
+use lanespan_fleet::plan::voter::{Declined, Voter, VoterChange};
+use std::collections::{BTreeMap, HashMap};
+
+const SECOND: u64 = 1_000_000;
+const PATIENCE: u64 = 60 * SECOND;
+
+/// The one history: every index has one content at all voters, and each digest follows from it.
+fn one_history(net: &Net, seen: &mut BTreeMap<u64, (Token, String, u64)>) {
+    for entry in net.seats.iter().flat_map(|seat| &seat.entries) {
+        let held = (entry.token, entry.text.clone(), entry.digest);
+        let first = seen.entry(entry.index).or_insert_with(|| held.clone());
+        assert_eq!(*first, held, "index {} has two contents", entry.index);
+    }
+}
+
+fn index(net: &Net, i: usize) -> u64 {
+    let voter = net.seats[i].voter.as_ref();
+    voter.and_then(Voter::replica).map_or(0, |replica| replica.document().index)
+}
+
+fn settled(net: &Net) -> bool {
+    let marks: Vec<_> =
+        net.seats.iter().filter_map(|seat| Some(seat.voter.as_ref()?.replica()?.mark())).collect();
+    marks.len() == net.seats.len() && marks.iter().all(|mark| *mark == marks[0])
+}
+
+/// A register under compare and set, seen by its clients: what was told as agreed stands at one place in the order
+/// of entries, not before it was asked for, and every success follows the value that it asked for.
+#[test]
+fn histories_under_faults_are_one_register_and_no_index_has_two_contents() {
+    for seed in 1..=40 {
+        let voters = if seed % 2 == 0 { 5 } else { 3 };
+        let mut net = Net::new(voters, 0, seed);
+        net.weather.loss = 0.1 * (seed % 3) as f64;
+        net.weather.twice = 0.1;
+        let (mut asked, mut seen, mut told) = (HashMap::new(), BTreeMap::new(), 0);
+        for id in 1..=120u64 {
+            match net.rng.u8(..12) {
+                0 => {
+                    let i = net.rng.usize(..voters);
+                    net.crash(i);
+                }
+                1 => {
+                    let i = net.rng.usize(..voters);
+                    net.stall(i, SECOND);
+                }
+                2 => {
+                    let these: Vec<usize> = (0..voters).filter(|_| net.rng.bool()).collect();
+                    net.part(&these);
+                }
+                3 => {
+                    let (from, to) = (net.rng.usize(..voters), net.rng.usize(..voters));
+                    net.cut.insert((from, to));
+                }
+                4 | 5 => net.cut.clear(),
+                _ => {}
+            }
+            for i in 0..voters {
+                if net.seats[i].voter.is_none() && net.rng.u8(..4) == 0 {
+                    assert!(net.start(i), "{:?}", net.seats[i].halted);
+                }
+            }
+            // A client that reads somewhere and asks everybody, as it does not know who leads: some twice.
+            let reader = net.rng.usize(..voters);
+            let after = net.seats[reader].voter.as_ref().and_then(Voter::replica);
+            let after =
+                after.and_then(|replica| replica.document().item("register", "x")).map_or(0, |x| x.index);
+            asked.insert(id, (net.now, after));
+            for i in 0..voters {
+                let _ = net.propose(i, id, id, Some(after));
+            }
+            let pause = net.rng.u64(..SECOND / 4);
+            net.run(pause);
+            // What lives in memory is compared before a crash forgets it.
+            one_history(&net, &mut seen);
+        }
+        net.cut.clear();
+        net.weather.loss = 0.0;
+        for i in 0..voters {
+            if net.seats[i].voter.is_none() {
+                assert!(net.start(i));
+            }
+        }
+        assert!(net.until(PATIENCE, |net| settled(net) && net.leader().is_some()).is_some(), "seed {seed}");
+        one_history(&net, &mut seen);
+        let mut register = 0;
+        for (index, (_, text, _)) in &seen {
+            let proposal: Proposal = serde_json::from_str(text).expect("an entry");
+            assert_eq!(
+                proposal.after,
+                Some(register),
+                "seed {seed}: index {index} overwrote what it had not read"
+            );
+            register = *index;
+            assert!(seen.values().filter(|(_, other, _)| other == text).count() == 1, "applied twice");
+        }
+        for (at, id, verdict) in net.seats.iter().flat_map(|seat| &seat.decided) {
+            let (asked_at, _) = asked[id];
+            assert!(*at >= asked_at);
+            if let Verdict::Agreed(index) | Verdict::Known(index) = verdict {
+                let proposal: Proposal = serde_json::from_str(&seen[index].1).expect("an entry");
+                assert_eq!(proposal.id, *id, "seed {seed}: told as agreed, and is not there");
+                told += 1;
+            }
+        }
+        assert!(told > voters * 5, "seed {seed}: too few decisions to say anything: {told}");
+        assert!(net.seats.iter().all(|seat| seat.halted.is_none()), "seed {seed}");
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_history() {
+    let played = |seed| {
+        let mut net = Net::new(3, 0, seed);
+        net.weather.loss = 0.2;
+        for id in 1..=20 {
+            (0..3).for_each(|i| _ = net.propose(i, id, id, None));
+            net.run(SECOND / 5);
+        }
+        (net.sent, net.seats[0].decided.clone(), net.leader())
+    };
+    assert_eq!(played(5), played(5));
+    assert_ne!(played(5), played(6));
+}
+
+#[test]
+fn a_leader_cut_off_or_heard_by_none_gives_way_and_what_it_promised_alone_is_not_agreed() {
+    for one_way in [false, true] {
+        let mut net = Net::new(5, 0, 3);
+        net.until(PATIENCE, |net| net.leader().is_some()).expect("a leader");
+        let old = net.leader().expect("there");
+        if one_way {
+            // It hears all, and is heard by none.
+            (0..5).for_each(|to| _ = net.cut.insert((old, to)));
+        } else {
+            net.part(&[old]);
+        }
+        net.propose(old, 1, 1, None).expect("it does not know yet");
+        let other =
+            |net: &Net| (0..5).find(|i| *i != old && net.seats[*i].voter.as_ref().is_some_and(Voter::leads));
+        net.until(PATIENCE, |net| other(net).is_some()).expect("another leads");
+        let new = other(&net).expect("there");
+        net.propose(new, 2, 2, None).expect("it leads");
+        net.until(PATIENCE, |net| index(net, new) == 1).expect("agreed");
+        net.until(PATIENCE, |net| !net.seats[old].voter.as_ref().is_some_and(Voter::leads))
+            .expect("it gives way");
+        assert_eq!(index(&net, old), 0);
+        net.cut.clear();
+        net.until(PATIENCE, settled).expect("one history");
+        let all: Vec<u64> = net.seats[old].decided.iter().map(|(_, id, _)| *id).collect();
+        assert_eq!(all, [2], "what was never agreed is gone");
+    }
+}
+
+#[test]
+fn without_a_majority_nothing_is_agreed_or_confirmed_and_with_it_back_all_goes_on() {
+    let mut net = Net::new(5, 0, 9);
+    net.until(PATIENCE, |net| net.leader().is_some()).expect("a leader");
+    // 2/2/1.
+    for (from, to) in (0..5).flat_map(|a| (0..5).map(move |b| (a, b))).filter(|(a, b)| a / 2 != b / 2) {
+        net.cut.insert((from, to));
+    }
+    net.run(2 * SECOND);
+    let from = net.now;
+    for i in 0..5 {
+        let _ = net.propose(i, 1, 1, None);
+        let _ = net.with(i, |voter| {
+            voter.confirm(77);
+            Ok(())
+        });
+    }
+    net.run(5 * SECOND);
+    assert!((0..5).all(|i| index(&net, i) == 0));
+    assert!(net.seats.iter().all(|seat| seat.confirmed.iter().all(|(at, _)| *at < from)));
+    net.cut.clear();
+    net.until(PATIENCE, |net| net.leader().is_some()).expect("a leader");
+    let leader = net.leader().expect("there");
+    let _ = net.propose(leader, 2, 2, None);
+    net.until(PATIENCE, |net| settled(net) && index(net, 0) > 0).expect("it goes on");
+}
+
+#[test]
+fn voters_change_one_at_a_time_and_one_that_comes_late_gets_the_state() {
+    let mut net = Net::new(3, 1, 4);
+    net.until(PATIENCE, |net| net.leader().is_some()).expect("a leader");
+    let leader = net.leader().expect("there");
+    // More than the log keeps, so that the newcomer can't have it entry by entry.
+    for id in 1..=2_500 {
+        net.propose(leader, id, id, None).expect("it leads");
+        net.until(PATIENCE, |net| index(net, leader) == id).expect("agreed");
+    }
+    assert!(net.seats[leader].disk.base.index > 1, "the log is cut");
+    net.change(leader, 9_001, VoterChange::Add(4)).expect("it leads");
+    assert_eq!(net.change(leader, 9_002, VoterChange::Remove(1)), Err(Declined::Busy), "one at a time");
+    net.until(PATIENCE, settled).expect("it has all");
+    let gone = (0..3).find(|i| *i != leader).expect("another");
+    net.change(leader, 9_003, VoterChange::Remove(gone as u64 + 1)).expect("it leads");
+    net.until(PATIENCE, |net| index(net, leader) == 2_502).expect("agreed");
+    net.crash(gone);
+    // Of the other three, the one that was there already may go too: the newcomer counts.
+    let third = (0..3).find(|i| *i != leader && *i != gone).expect("another");
+    net.crash(third);
+    net.propose(leader, 9_004, 1, None).expect("it leads");
+    net.until(PATIENCE, |net| index(net, leader) == 2_503 && index(net, 3) == 2_503).expect("two of three");
+    // From its disk, cut as it is, a voter knows the same.
+    net.crash(leader);
+    assert!(net.start(leader) && net.start(third));
+    net.until(PATIENCE, |net| [leader, third, 3].iter().all(|i| index(net, *i) == 2_503)).expect("all back");
+}
+
+#[test]
+fn an_older_copy_of_a_store_is_told_and_does_not_vote() {
+    let mut net = Net::new(3, 0, 8);
+    net.until(PATIENCE, |net| net.leader().is_some()).expect("a leader");
+    let leader = net.leader().expect("there");
+    let victim = (0..3).find(|i| *i != leader).expect("another");
+    let older: Durable = net.seats[victim].disk.clone();
+    for id in 1..=5 {
+        net.propose(leader, id, id, None).expect("it leads");
+    }
+    net.until(PATIENCE, settled).expect("all have it");
+    net.run(SECOND);
+    net.crash(victim);
+    net.seats[victim].disk = older;
+    assert!(net.start(victim));
+    net.until(PATIENCE, |net| net.seats[victim].halted.is_some()).expect("it is told");
+    let told = net.seats[victim].halted.clone().expect("there");
+    assert!(told.contains("an older copy?"), "{told}");
+    // Entries that are missing in the middle are told at the start.
+    let mut holed = net.seats[leader].disk.clone();
+    holed.records.remove(1);
+    assert!(Voter::new(1, 7, &holed, 1).err().is_some_and(|told| told.contains("missing")));
+}
+
+#[test]
+fn a_disk_that_fails_ends_the_voter_and_what_it_did_not_write_was_never_promised() {
+    let mut net = Net::new(3, 0, 2);
+    net.until(PATIENCE, |net| net.leader().is_some()).expect("a leader");
+    let leader = net.leader().expect("there");
+    net.weather.disk = (10 * SECOND, 10 * SECOND);
+    net.propose(leader, 1, 1, None).expect("it leads");
+    net.run(SECOND);
+    assert!((0..3).all(|i| index(&net, i) == 0), "no answer before the disk's");
+    net.with(leader, |voter| {
+        voter.disk_failed("no space");
+        Ok(())
+    })
+    .expect("it runs");
+    assert!(net.seats[leader].halted.as_ref().is_some_and(|told| told.contains("no space")));
+    net.weather.disk = (100, 100);
+    net.until(PATIENCE, |net| net.leader().is_some_and(|other| other != leader)).expect("the others go on");
+}
+
+fn change(id: u64, section: &str, value: &str) -> Proposal {
+    Proposal {
+        id,
+        schema: SCHEMA,
+        proposer: "g0".into(),
+        reason: "a test".into(),
+        section: section.into(),
+        key: "x".into(),
+        value: Some(value.into()),
+        ..Proposal::default()
+    }
+}
+
+fn at(index: u64) -> Token {
+    Token { term: 1, index }
+}
+
+fn text(proposal: &Proposal) -> String {
+    serde_json::to_string(proposal).expect("a form")
+}
+
+#[test]
+fn entries_are_compared_set_once_bounded_and_kept_when_unknown() {
+    let mut replica = Replica::of(Document::begun(1, &BTreeMap::new()));
+    let mut apply = |index, proposal: &Proposal| replica.apply(at(index), &text(proposal)).0;
+    assert_eq!(apply(2, &change(1, "failover", "a")), Verdict::Agreed(1));
+    assert_eq!(apply(3, &change(1, "failover", "a")), Verdict::Known(1), "sent twice, applied once");
+    let moved = Proposal { expected: Some(0), ..change(2, "failover", "b") };
+    assert_eq!(apply(4, &moved), Verdict::Refused(Refusal::Moved(1)));
+    let changed = Proposal { after: Some(0), ..change(3, "failover", "b") };
+    assert_eq!(apply(5, &changed), Verdict::Refused(Refusal::Changed(1)));
+    let absent = Proposal { value: None, key: "y".into(), ..change(4, "failover", "") };
+    assert_eq!(apply(6, &absent), Verdict::Refused(Refusal::Changed(0)));
+    let long = change(5, "failover", &"x".repeat(5_000));
+    assert!(matches!(apply(7, &long), Verdict::Refused(Refusal::Unsound(_))));
+    let late = Proposal { duty: Some(("failover".into(), at(3))), ..change(6, "failover", "c") };
+    assert!(matches!(apply(8, &late), Verdict::Refused(Refusal::Fenced(_))));
+    // A newer build's section, with a field that this one does not know.
+    let newer =
+        text(&Proposal { schema: 9, ..change(7, "weather", "sun") }).replace("{\"id\"", "{\"moon\":3,\"id\"");
+    assert_eq!(replica.apply(at(9), &newer).0, Verdict::Agreed(2));
+    assert_eq!(replica.document().item("weather", "x").map(|item| item.value.as_str()), Some("sun"));
+    assert!(
+        replica.entries().last().is_some_and(|entry| entry.text.contains("moon")),
+        "passed on as it came"
+    );
+    for id in 100..2_000 {
+        replica.apply(at(id), &text(&Proposal { key: format!("k{id}"), ..change(id, "work", "v") }));
+    }
+    assert_eq!(replica.document().sections.values().map(BTreeMap::len).sum::<usize>(), 1_024);
+}
+
+#[test]
+fn followers_catch_up_by_entries_or_state_and_tell_what_differs() {
+    let mut whole = Replica::of(Document::begun(1, &BTreeMap::new()));
+    let mut follower = whole.clone();
+    for id in 1..=12_000 {
+        whole.apply(at(id + 1), &text(&change(id, "work", &id.to_string())));
+    }
+    // 10,000 and more behind: the state. Then entries, some at a time.
+    assert!(matches!(whole.news(0), Some(News::Whole(_))));
+    let mut late = Replica::default();
+    late.take(1, whole.news(0).expect("news")).expect("taken");
+    assert_eq!(late.mark(), whole.mark());
+    follower.take(1, whole.news(0).expect("news")).expect("taken");
+    for id in 12_001..=20_000 {
+        whole.apply(at(id + 1), &text(&change(id, "work", &id.to_string())));
+    }
+    let mut answers = 0;
+    while let Some(news) = whole.news(follower.document().index) {
+        follower.take(1, news).expect("taken");
+        answers += 1;
+    }
+    assert_eq!(follower.mark(), whole.mark());
+    assert!((2..50).contains(&answers), "bounded answers: {answers}");
+    assert_eq!(follower.digest_at(15_000), whole.digest_at(15_000));
+    // Another plan, one that differs, and one that does not follow.
+    assert_eq!(follower.take(2, News::Entries(Vec::new())), Err(Unusable::OtherPlan(2)));
+    let before = follower.clone();
+    whole.apply(at(30_000), &text(&change(30_000, "work", "v")));
+    let Some(News::Entries(mut entries)) = whole.news(20_000) else { panic!("entries") };
+    entries[0].digest ^= 1;
+    assert_eq!(follower.take(1, News::Entries(entries.clone())), Err(Unusable::Differs(20_001)));
+    entries[0].index += 1;
+    assert_eq!(follower.take(1, News::Entries(entries)), Err(Unusable::Stale));
+    assert_eq!(follower.mark(), before.mark());
+}
+
+#[test]
+fn the_last_plan_is_given_up_evenly_and_not_at_once() {
+    let trust = Trust { hold: 30, ramp: 20 };
+    let shares: Vec<f64> = [0, 30, 35, 40, 50, 1_000].iter().map(|since| trust.share(*since)).collect();
+    assert_eq!(shares, [1.0, 1.0, 0.75, 0.5, 0.0, 0.0]);
+}
+
+/// The leader's and the holders' sides over lossy, late renewals, stalls and clocks that run 1% fast or slow: whoever
+/// acts without looking again is fenced, and whoever looks never acts beside another.
+#[test]
+fn no_two_hold_a_duty_at_once_and_one_that_goes_on_late_is_fenced() {
+    let mut handed_over = 0;
+    for seed in 1..=200u64 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let members: Vec<Candidate> = (0..3).map(|i| (format!("g{i}"), 1)).collect();
+        let speed: Vec<f64> = (0..4).map(|_| 0.99 + 0.02 * rng.f64()).collect();
+        let clock = |who: usize, now: u64| (now as f64 * speed[who]) as u64 + 1_000_000;
+        let mut document = Document::begun(1, &BTreeMap::new());
+        let (mut leases, mut held) = (Leases::new(clock(3, 0)), [(); 3].map(|()| Held::default()));
+        let (mut receiver, mut place, mut last) = (Receiver::default(), 1, BTreeMap::new());
+        // Renewals on their way: when they arrive, whose, of what, and when they were sent by the sender's clock.
+        let mut on_the_way: Vec<(u64, usize, &'static str, Token, u64)> = Vec::new();
+        let mut stalled = [0u64; 3];
+        // What a stalled holder had looked up before it stood still.
+        let mut in_hand: [Option<(&'static str, Token)>; 3] = [None; 3];
+        for now in (0..20_000_000u64).step_by(50_000) {
+            if rng.u16(..200) == 0 {
+                // A new leader: it knows no renewals.
+                leases = Leases::new(clock(3, now));
+            }
+            for proposal in leases.due(&document, &members, 1_000_000, clock(3, now), || rng.u64(1..)) {
+                place += 1;
+                if rng.u8(..10) == 0 {
+                    leases.failed(proposal.id);
+                    continue;
+                }
+                let (verdict, _) = document.apply(at(place), &text(&proposal));
+                assert!(matches!(verdict, Verdict::Agreed(_)), "{verdict:?}");
+                leases.granted(&proposal.key, at(place), clock(3, now));
+                handed_over += 1;
+            }
+            on_the_way.retain(|(arrives, who, duty, token, sent)| {
+                if *arrives > now {
+                    return true;
+                }
+                if leases.renew(&document, duty, *token, clock(3, now)) && stalled[*who] <= now {
+                    held[*who].renewed(duty, *token, *sent, clock(*who, now));
+                }
+                false
+            });
+            for who in 0..3 {
+                if stalled[who] > now {
+                    continue;
+                }
+                if let Some((duty, token)) = in_hand[who].take() {
+                    // Resumed in the middle of a side effect.
+                    let current = last.get(duty).copied().unwrap_or_default();
+                    assert_eq!(receiver.admits(duty, token), token >= current, "seed {seed}");
+                }
+                held[who].follow(&document, &members[who], clock(who, now));
+                for (duty, token) in held[who].due(clock(who, now)) {
+                    if rng.u8(..10) < 7 {
+                        let late = rng.u64(..400_000);
+                        on_the_way.push((now + late, who, duty, token, clock(who, now)));
+                    }
+                }
+                if rng.u16(..300) == 0 {
+                    stalled[who] = now + rng.u64(..3_000_000);
+                    in_hand[who] =
+                        ALL.into_iter().find_map(|d| Some((d, held[who].token(d, clock(who, now))?)));
+                }
+            }
+            for duty in ALL {
+                let holders: Vec<(usize, Token)> =
+                    (0..3).filter_map(|who| Some((who, held[who].token(duty, clock(who, now))?))).collect();
+                assert!(holders.len() <= 1, "seed {seed}, {now}: {duty} held by {holders:?}");
+                for (who, token) in holders.into_iter().filter(|(who, _)| stalled[*who] <= now) {
+                    assert!(receiver.admits(duty, token), "seed {seed}: {who} holds {duty} and is fenced");
+                    last.insert(duty, token);
+                }
+            }
+        }
+        assert!(last.len() == ALL.len(), "seed {seed}: each duty was held");
+    }
+    assert!(handed_over > 600, "{handed_over}");
+}
+
+#[test]
+fn a_duty_is_given_back_by_its_holder_only_and_moves_only_with_it() {
+    let mut document = Document::begun(1, &BTreeMap::new());
+    let members: Vec<Candidate> = (0..5).map(|i| (format!("g{i}"), 1)).collect();
+    let mut leases = Leases::new(0);
+    for proposal in leases.due(&document, &members, SECOND, 0, || 1) {
+        let place = at(if proposal.key == ALL[0] { 2 } else { 3 });
+        // One id for both: the second is known, and nobody's.
+        let _ = document.apply(place, &text(&Proposal { id: place.index, ..proposal.clone() }));
+        leases.granted(&proposal.key, place, 0);
+    }
+    let (grant, token) = document.grant(ALL[0]).expect("granted");
+    let me: Candidate = (grant.holder.clone(), grant.life);
+    let mut held = Held::default();
+    held.follow(&document, &me, 0);
+    assert_eq!(held.token(ALL[0], 0), None, "not before a renewal");
+    held.renewed(ALL[0], token, 0, 10);
+    assert_eq!(held.token(ALL[0], 10), Some(token));
+    assert_eq!(held.token(ALL[0], SECOND * 96 / 100), None, "it stops before the lease can have ended");
+    let back = held.give_back(&me, 10, || 99);
+    assert_eq!(held.token(ALL[0], 10), None);
+    // Another's token gives nothing back.
+    let forged = Proposal { id: 98, duty: Some((ALL[0].into(), at(1))), ..back[0].clone() };
+    assert!(matches!(document.apply(at(5), &text(&forged)).0, Verdict::Refused(Refusal::Fenced(_))));
+    assert!(matches!(document.apply(at(6), &text(&back[0])).0, Verdict::Agreed(_)));
+    assert_eq!(document.grant(ALL[0]), None);
+    let others: Vec<Candidate> = members.iter().filter(|member| **member != me).cloned().collect();
+    let next = leases.due(&document, &others, SECOND, 20, || 100);
+    let grant: Grant = serde_json::from_str(next[0].value.as_deref().expect("a value")).expect("a grant");
+    assert!(next.len() == 1 && grant.holder != me.0 && next[0].section == DUTIES);
+}
