--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -101,6 +101,8 @@
 pub const LIST: &str = "list";
 /// The fact that holds a digest of the configuration in force.
 pub const FILE: &str = "file";
+/// The fact that holds where others fetch the fleet plan.
+pub const PLAN_AT: &str = "plan";
 /// The fact of a gateway that is about to leave.
 pub const LEAVING: &str = "leaving";
 /// The value of what is so.
--- a/crates/fleet/src/presence.rs
+++ b/crates/fleet/src/presence.rs
@@ -7,7 +7,8 @@
 //! alone, and reaches out to those that were lost, so that a healed partition becomes one view again.
 
 use crate::node::{Address, Facts, Node, LEAVING, NUMBER, YES};
-use crate::view::{Change, MemberView, Seen, Standing, View, ZoneView};
+use crate::plan::replica::Mark;
+use crate::view::{ActsOn, Change, MemberView, Seen, Standing, View, ZoneView};
 use crate::wire::{self, Dropped, Envelope, Kind, Row, ENVELOPE, LONGEST};
 use foca::{
     AccumulatingRuntime, BroadcastHandler, Codec, Foca, Header, Identity, Invalidates, Member,
@@ -201,6 +202,8 @@
     since: u64,
     /// The last digest that it told, and when.
     digest: Option<(u64, u64)>,
+    /// The plan that it last told to act on.
+    mark: Mark,
 }
 
 enum Due {
@@ -240,6 +243,10 @@
     claims: Vec<(Node, Node)>,
     sized_for: usize,
     left: bool,
+    /// The plan that this gateway acts on.
+    mark: Mark,
+    /// The latest beat of its leader that was heard of, and when by the clock.
+    beat: (u64, u64),
     counts: Counts,
     out: Vec<Output>,
 }
@@ -285,6 +292,8 @@
             claims: Vec::new(),
             sized_for: 1,
             left: false,
+            mark: Mark::default(),
+            beat: (0, now),
             counts: Counts::default(),
             out: Vec::new(),
             settings,
@@ -343,6 +352,42 @@
         self.refresh(Seen::Here);
     }
 
+    /// This gateway acts on this plan from now on.
+    pub fn act_on(&mut self, now: u64, mark: Mark) {
+        self.advance(now);
+        if mark.plan != self.mark.plan {
+            self.beat = (0, now);
+        }
+        self.mark = mark;
+    }
+
+    /// The plan's leader is well: a later beat is higher. All others hear of it with what is sent anyway.
+    pub fn beat(&mut self, now: u64, beat: u64) {
+        self.advance(now);
+        if beat > self.beat.0 {
+            self.beat = (beat, now);
+        }
+    }
+
+    /// How long ago the plan's leader was last heard of, in microseconds, those in which this process stood still
+    /// included.
+    pub fn beat_age(&self, now: u64) -> u64 {
+        now.saturating_sub(self.beat.1)
+    }
+
+    /// The others that are present, with the plans that they last told to act on, and whether they are leaving.
+    pub fn marks(&self) -> Vec<(Node, Mark, bool)> {
+        let table = self.table.borrow();
+        let present = self.known.values().filter(|known| known.standing.is_present());
+        let leaves = |node: &Node| table.of(node).is_some_and(|facts| facts.told.contains_key(LEAVING));
+        present.map(|known| (known.node.clone(), known.mark, leaves(&known.node))).collect()
+    }
+
+    /// What the present life of a member told of itself under this name.
+    pub fn fact(&self, node: &Node, fact: &str) -> Option<String> {
+        self.table.borrow().of(node)?.told.get(fact).cloned()
+    }
+
     /// Announces that this gateway leaves, and does nothing more.
     pub fn leave(&mut self, now: u64) {
         self.tell(now, LEAVING, YES);
@@ -412,11 +457,14 @@
                 superseded: standing.is_present() && holder(node).is_some_and(|holder| holder != *node),
                 facts: facts(node),
                 agrees,
+                acts_on: None,
             };
         let mut members = vec![row(&self.me, Standing::Present, Seen::Here, 0, Some(true))];
+        members[0].acts_on = acts_on(&self.mark);
         members.extend(self.known.values().map(|known| {
             let since = self.now - known.since;
-            row(&known.node, known.standing, known.seen.clone(), since, self.agrees(known))
+            let row = row(&known.node, known.standing, known.seen.clone(), since, self.agrees(known));
+            MemberView { acts_on: acts_on(&known.mark), ..row }
         }));
         members.sort_by(|a, b| a.node.cmp(&b.node));
         let mut zones = BTreeMap::<String, ZoneView>::new();
@@ -483,6 +531,10 @@
         let mut seen = Seen::Here;
         if let Some(known) = sender.and_then(|address| self.known.get_mut(&address)) {
             known.digest = Some((envelope.digest, self.now));
+            // Datagrams may overtake each other.
+            if envelope.mark.plan != known.mark.plan || envelope.mark.index >= known.mark.index {
+                known.mark = envelope.mark;
+            }
             seen = Seen::By(known.node.name.clone());
         }
         match envelope.kind {
@@ -502,6 +554,9 @@
             Kind::Pull => self.pulled(payload)?,
             Kind::Rows => self.rows(payload, seen)?,
         }
+        if envelope.mark.plan == self.mark.plan && envelope.beat > self.beat.0 {
+            self.beat = (envelope.beat, self.now + self.still);
+        }
         let settled = self.now >= self.changed_at + SETTLE * self.settings.probe;
         let present = sender.and_then(|address| self.known.get(&address));
         let present = present.filter(|known| known.standing.is_present()).map(|known| known.node.clone());
@@ -741,7 +796,8 @@
 
     fn send(&mut self, to: SocketAddr, kind: Kind, payload: &[u8]) {
         let (cluster, digest) = (self.cluster, self.digest);
-        let bytes = Envelope { kind, cluster, from: wire::key(&self.me), digest }.around(payload);
+        let (from, (mark, beat)) = (wire::key(&self.me), (self.mark, self.beat.0));
+        let bytes = Envelope { kind, cluster, from, digest, mark, beat }.around(payload);
         self.counts.sent.0 += 1;
         self.counts.sent.1 += bytes.len() as u64;
         self.out.push(Output::Send(to, bytes));
@@ -826,7 +882,7 @@
             }
             let (seen, since, node) = (seen.clone(), self.now, node.clone());
             let (key, address) = (wire::key(&node), node.addr());
-            let known = Known { node, key, standing: now, seen, since, digest: None };
+            let known = Known { node, key, standing: now, seen, since, digest: None, mark: Mark::default() };
             self.keys.insert(key, address);
             if let Some(old) = self.known.insert(address, known).filter(|old| old.key != key) {
                 self.keys.remove(&old.key);
@@ -858,6 +914,10 @@
     }
 }
 
+fn acts_on(mark: &Mark) -> Option<ActsOn> {
+    (mark.plan != 0).then(|| ActsOn { index: mark.index, digest: format!("{:016x}", mark.digest) })
+}
+
 /// By which the later of two lives is found.
 fn later(node: &Node) -> (u64, SocketAddr) {
     (node.incarnation, node.address)
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -75,6 +75,17 @@
     pub facts: Facts,
     /// Whether the last digest it told is that of this view; `None`: it told none lately.
     pub agrees: Option<bool>,
+    /// The fleet plan that it acts on; `None`: it has none.
+    pub acts_on: Option<ActsOn>,
+}
+
+/// A place in the fleet plan.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ActsOn {
+    /// The plan's index.
+    pub index: u64,
+    /// Its digest there.
+    pub digest: String,
 }
 
 /// How many members of a zone stand how.
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -1,10 +1,12 @@
 //! The datagrams between gateways: an envelope, and in it SWIM's messages or rows of the full exchange.
 //!
 //! The envelope, big endian: "LF", a version, a kind, the cluster's number (8 bytes), the sender's key (8), the digest
-//! of its view (8), the payload's length (2). There is no secret in it: whoever can send to a gateway's fleet
+//! of its view (8), the fleet plan that it acts on, its index and digest there (8 each), the plan's latest beat that it
+//! heard of (8), the payload's length (2). There is no secret in it: whoever can send to a gateway's fleet
 //! address can forge one. What a forged one can do is bounded (docs/fleet.md).
 
 use crate::node::{Facts, Node};
+use crate::plan::replica::Mark;
 use foca::Member;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -12,9 +14,9 @@
 /// The longest datagram that is sent or read, in bytes: one that no usual path breaks up.
 pub const LONGEST: usize = 1_400;
 /// The envelope's part of it.
-pub const ENVELOPE: usize = 30;
+pub const ENVELOPE: usize = 62;
 const MAGIC: [u8; 2] = *b"LF";
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// What a datagram is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,6 +69,10 @@
     pub from: u64,
     /// The digest of its view.
     pub digest: u64,
+    /// The plan that it acts on.
+    pub mark: Mark,
+    /// The latest beat of that plan's leader that it heard of; a later one is higher.
+    pub beat: u64,
 }
 
 /// One member in the full exchange.
@@ -96,7 +102,9 @@
         let mut bytes = Vec::with_capacity(ENVELOPE + payload.len());
         bytes.extend(MAGIC);
         bytes.extend([VERSION, self.kind as u8]);
-        [self.cluster, self.from, self.digest].iter().for_each(|word| bytes.extend(word.to_be_bytes()));
+        let Mark { plan, index, digest } = self.mark;
+        let words = [self.cluster, self.from, self.digest, plan, index, digest, self.beat];
+        words.iter().for_each(|word| bytes.extend(word.to_be_bytes()));
         bytes.extend((payload.len() as u16).to_be_bytes());
         bytes.extend(payload);
         bytes
@@ -122,10 +130,11 @@
             _ => return Err(Dropped::Malformed),
         };
         let payload = &bytes[ENVELOPE..];
-        if payload.len() != usize::from(bytes[28]) << 8 | usize::from(bytes[29]) {
+        if payload.len() != usize::from(bytes[ENVELOPE - 2]) << 8 | usize::from(bytes[ENVELOPE - 1]) {
             return Err(Dropped::Malformed);
         }
-        Ok((Envelope { kind, cluster, from, digest }, payload))
+        let mark = Mark { plan: word(28), index: word(36), digest: word(44) };
+        Ok((Envelope { kind, cluster, from, digest, mark, beat: word(52) }, payload))
     }
 }
 
--- a/crates/fleet/tests/presence.rs
+++ b/crates/fleet/tests/presence.rs
@@ -212,7 +212,9 @@
     let mut net = Net::settled(3, settings(), 11);
     let before = presence(&net, 0).counts().dropped[1];
     let digest = presence(&net, 0).digest();
-    let other = Envelope { kind: Kind::Pull, cluster: 1, from: 7, digest: 0 }.around(b"x");
+    let other =
+        Envelope { kind: Kind::Pull, cluster: 1, from: 7, digest: 0, mark: Default::default(), beat: 0 }
+            .around(b"x");
     net.inject(0, &other);
     assert_eq!(Dropped::ALL[1].0, Dropped::OtherCluster);
     assert_eq!(presence(&net, 0).counts().dropped[1], before + 1);
@@ -246,7 +248,7 @@
 
 fn datagram(kind: Kind, payload: &[u8]) -> Vec<u8> {
     let cluster = lanespan_fleet::wire::cluster("test");
-    Envelope { kind, cluster, from: 1, digest: 0 }.around(payload)
+    Envelope { kind, cluster, from: 1, digest: 0, mark: Default::default(), beat: 0 }.around(payload)
 }
 
 #[test]
@@ -327,7 +329,7 @@
         let cluster = lanespan_fleet::wire::cluster("test");
         let from = lanespan_fleet::wire::key(presence(&net, 1).me());
         let kind = [Kind::Swim, Kind::Pull, Kind::Rows][usize::from(kind % 3)];
-        let wrapped = Envelope { kind, cluster, from, digest: 3 }.around(&noise[..noise.len().min(1300)]);
+        let wrapped = Envelope { kind, cluster, from, digest: 3, mark: Default::default(), beat: 0 }.around(&noise[..noise.len().min(1300)]);
         net.inject(0, &noise);
         net.inject(0, &wrapped);
         // One of its own that was overheard.
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -1,17 +1,21 @@
-//! The operators' door: `/metrics`, `/healthz`, `/readyz`, `/debug/state` and `/fleet/members`, on an address of its own. It has bounds
-//! of its own, and answers one call a connection at a pace, so that its clients can't slow requests.
+//! The operators' door: `/metrics`, `/healthz`, `/readyz`, `/debug/state` and, with a fleet, `/fleet/`, on an address of
+//! its own. It has bounds of its own, and answers one call a connection at a pace, so that its clients can't slow
+//! requests. Only proposals to the fleet plan change anything.
 
 use crate::config::document::AdminSection;
 use crate::driver::{Inbox, Input, Seen, View};
 use crate::fleet::Fleet;
+use crate::plan::serve::told;
+use crate::plan::Plan;
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::Value;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,22 +26,29 @@
 
 /// The gap between two connections that are taken: fifty a second at most.
 const GAP: Duration = Duration::from_millis(20);
-/// The longest head of a call.
+/// The longest head of a call, and the longest body.
 const MAX_HEAD: usize = 8 * 1024;
+const MAX_BODY: usize = 16 * 1024;
 
 /// Serves operators for ever.
-pub async fn serve(listener: TcpListener, set: AdminSection, inbox: Inbox, fleet: Option<Rc<Fleet>>) {
+pub async fn serve(
+    listener: TcpListener,
+    set: AdminSection,
+    inbox: Inbox,
+    fleet: Option<Rc<Fleet>>,
+    plan: Option<Rc<Plan>>,
+) {
     let (places, longest) = (Rc::new(Semaphore::new(set.connections.get())), set.timeout_ms.ms());
     loop {
         let accepted = listener.accept().await;
         // One that finds no place is closed at once.
         match (accepted, Place::of(&places)) {
             (Ok((stream, _)), Some(place)) => {
-                let (inbox, fleet) = (inbox.clone(), fleet.clone());
+                let (inbox, fleet, plan) = (inbox.clone(), fleet.clone(), plan.clone());
                 tokio::task::spawn_local(async move {
                     let _place = place;
                     // It may drip, or never read.
-                    let _ = timeout(longest, one_call(stream, inbox, fleet)).await;
+                    let _ = timeout(longest, one_call(stream, inbox, fleet, plan)).await;
                 });
             }
             (Ok(_), None) => {}
@@ -63,10 +74,22 @@
     }
 }
 
-async fn one_call(stream: TcpStream, inbox: Inbox, fleet: Option<Rc<Fleet>>) {
+async fn one_call(stream: TcpStream, inbox: Inbox, fleet: Option<Rc<Fleet>>, plan: Option<Rc<Plan>>) {
     let service = service_fn(|request| {
-        let (inbox, fleet) = (inbox.clone(), fleet.clone());
-        async move { Ok::<_, Infallible>(answer(&request, &inbox, fleet.as_deref()).await) }
+        let (inbox, fleet, plan) = (inbox.clone(), fleet.clone(), plan.clone());
+        async move {
+            let path = request.uri().path().to_string();
+            let of_plan =
+                plan.as_deref().filter(|_| path.starts_with("/fleet/plan") || path == "/fleet/duties");
+            let (status, kind, text) = match of_plan {
+                Some(plan) => planned(request, &path, plan).await,
+                None => answer(&request, &inbox, fleet.as_deref()).await,
+            };
+            let mut response = Response::new(Full::new(text));
+            *response.status_mut() = status;
+            response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -77,7 +100,40 @@
     let _ = connection.await;
 }
 
-async fn answer(request: &Request<Incoming>, inbox: &Inbox, fleet: Option<&Fleet>) -> Response<Full<Bytes>> {
+type Told = (StatusCode, &'static str, Bytes);
+
+/// What is asked of the fleet plan.
+async fn planned(request: Request<Incoming>, path: &str, plan: &Plan) -> Told {
+    let shown = |value: Value| (StatusCode::OK, JSON, format!("{value}\n").into());
+    let wrong = |problem: String| (StatusCode::BAD_REQUEST, TEXT, format!("{problem}\n").into());
+    match (request.method(), path) {
+        (&Method::GET, "/fleet/plan") => return shown(plan.show()),
+        (&Method::GET, "/fleet/plan/history") => return shown(plan.history()),
+        (&Method::GET, "/fleet/duties") => return shown(plan.duties()),
+        (&Method::POST, "/fleet/plan/propose" | "/fleet/plan/voters") => {}
+        _ => return (StatusCode::NOT_FOUND, TEXT, "no such path\n".into()),
+    }
+    let body = match Limited::new(request.into_body(), MAX_BODY).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return wrong(error.to_string()),
+    };
+    let answer = match path {
+        "/fleet/plan/propose" => match serde_json::from_slice(&body) {
+            Ok(proposal) => plan.propose(proposal).await,
+            Err(error) => return wrong(error.to_string()),
+        },
+        _ => match serde_json::from_slice(&body) {
+            Ok(wish) => plan.change_voters(wish).await,
+            Err(error) => return wrong(error.to_string()),
+        },
+    };
+    match told(answer) {
+        Ok((status, text)) => (status, JSON, text),
+        Err(problem) => (StatusCode::INTERNAL_SERVER_ERROR, TEXT, problem.into()),
+    }
+}
+
+async fn answer(request: &Request<Incoming>, inbox: &Inbox, fleet: Option<&Fleet>) -> Told {
     let view = match request.uri().path() {
         "/metrics" => Some(View::Metrics),
         "/healthz" | "/readyz" => Some(View::Ready),
@@ -106,10 +162,7 @@
             None => (StatusCode::SERVICE_UNAVAILABLE, TEXT, "the driver ended\n".to_string()),
         },
     };
-    let mut response = Response::new(Full::new(text.into()));
-    *response.status_mut() = status;
-    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
-    response
+    (status, kind, text.into())
 }
 
 const METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,6 +1,7 @@
 //! What the platform tells a gateway: the environment and the configuration file.
 
 pub mod document;
+pub mod plan;
 pub(crate) mod problems;
 
 use super::config_error::ConfigError;
@@ -8,6 +9,7 @@
 use super::relay::StreamSettings;
 use document::{AdminSection, Document, FleetSection};
 use lanespan_settings::{flatten, Fields, Site};
+use plan::PlanSettings;
 use serde::Deserialize;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -202,6 +204,8 @@
     pub hold: Duration,
     /// What is added to the system's clock, in milliseconds.
     pub clock_ahead_ms: i64,
+    /// How it takes part in the fleet plan.
+    pub plan: Option<PlanSettings>,
 }
 
 /// The shortest period of probes. Guards against a fleet that does nothing else.
@@ -215,7 +219,11 @@
         site: &Site,
         problems: &mut Vec<String>,
     ) -> FleetSettings {
+        let zones = told["settings"]["zones"].as_array().into_iter().flatten();
+        let zones = zones.filter_map(|zone| zone.as_str().map(str::to_string)).collect();
+        let plan = section.plan.map(|plan| PlanSettings::of(plan, name, zones, problems));
         let set = FleetSettings {
+            plan,
             name: name.to_string(),
             zone: told["settings"]["zone"].as_str().unwrap_or_default().to_string(),
             number: site.settings.me,
@@ -339,6 +347,14 @@
                 "advertise": fleet.advertise.unwrap_or(fleet.listen), "cluster": fleet.cluster, "join": fleet.join,
                 "via": fleet.via, "probe_ms": ms(fleet.probe), "forget_s": fleet.forget.as_secs(),
                 "most": fleet.most, "hold_ms": ms(fleet.hold), "clock_ahead_ms": fleet.clock_ahead_ms,
+                "plan": fleet.plan.as_ref().map(|plan| serde_json::json!({
+                    "listen": plan.listen, "advertise": plan.advertise.unwrap_or(plan.listen), "via": plan.via,
+                    "voters": plan.voters.iter().map(|(name, voter)| (name.clone(), serde_json::json!({
+                        "zone": voter.zone, "address": voter.address,
+                    }))).collect::<serde_json::Map<_, _>>(),
+                    "directory": plan.directory, "tick_ms": ms(plan.tick), "lease_ms": ms(plan.lease),
+                    "trust_s": plan.trust.as_secs(), "ramp_s": plan.ramp.as_secs(),
+                })),
             })),
             "settings": self.told.get("settings"),
         })
--- a/crates/gateway/src/config/document.rs
+++ b/crates/gateway/src/config/document.rs
@@ -9,6 +9,7 @@
 use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// The longest span that a key may name.
@@ -210,6 +211,8 @@
     pub hold_ms: Span,
     /// What is added to the system's clock, in milliseconds; for tests of clocks that lie apart.
     pub clock_ahead_ms: i64,
+    /// The plan that all gateways act on. Absent: there is none.
+    pub plan: Option<PlanSection>,
 }
 
 impl Default for FleetSection {
@@ -225,10 +228,61 @@
             most: Whole(1_000),
             hold_ms: Whole(5_000),
             clock_ahead_ms: 0,
+            plan: None,
         }
     }
 }
 
+/// The fleet plan, agreed on by a few voters and followed by all (docs/plan.md).
+#[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct PlanSection {
+    /// Where other gateways reach the plan here.
+    pub listen: SocketAddr,
+    /// Where they are told that it is; by default where it listens.
+    pub advertise: Option<SocketAddr>,
+    /// The first voters by name, each with zone and address; 1, 3 or 5, the same at all gateways.
+    pub voters: BTreeMap<String, VoterSection>,
+    /// Where a voter keeps its log; must be there at voters. Without it a gateway only follows.
+    pub directory: Option<PathBuf>,
+    /// Addresses that others tell as their plan's, and by which they are reached from here.
+    pub via: BTreeMap<SocketAddr, SocketAddr>,
+    /// A tick of the voters: an election takes 10 to 20 of them.
+    pub tick_ms: Span,
+    /// How long a duty is held without a renewal; 20 ticks at least.
+    pub lease_ms: Span,
+    /// How long the last plan is acted on without news, in seconds.
+    pub trust_s: Whole<604_800>,
+    /// How long giving it up takes, in seconds.
+    pub ramp_s: Whole<604_800>,
+}
+
+impl Default for PlanSection {
+    fn default() -> PlanSection {
+        PlanSection {
+            listen: SocketAddr::from(([127, 0, 0, 1], 7947)),
+            advertise: None,
+            voters: BTreeMap::new(),
+            directory: None,
+            via: BTreeMap::new(),
+            tick_ms: Whole(100),
+            lease_ms: Whole(5_000),
+            trust_s: Whole(30),
+            ramp_s: Whole(30),
+        }
+    }
+}
+
+/// One of the first voters.
+#[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct VoterSection {
+    /// Its zone.
+    pub zone: String,
+    /// Where the others reach its plan.
+    pub address: SocketAddr,
+}
+
 /// The JSON schema of the file.
 pub fn schema() -> Value {
     schemars::schema_for!(Document).to_value()
@@ -244,6 +298,7 @@
         ("StreamingSection", "streaming"),
         ("AdminSection", "admin"),
         ("FleetSection", "fleet"),
+        ("PlanSection", "fleet.plan"),
     ] {
         let section = &schema["$defs"][name];
         let about = section["description"].as_str().unwrap_or_default();
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -7,6 +7,7 @@
 use super::counter::{Counted, Counter, Order};
 use super::fleet::Fleet;
 use super::metrics::{Final, Metrics, Now};
+use super::plan::Plan;
 use super::pool::{Backend, Pool};
 use super::relay::{Relays, Served};
 use lanespan_policy::api::*;
@@ -267,6 +268,11 @@
         self.fleet = Some(fleet);
     }
 
+    /// Shows operators this plan's figures.
+    pub fn show_plan(&mut self, plan: Rc<Plan>) {
+        self.metrics.iter_mut().for_each(|metrics| metrics.show_plan(plan.clone()));
+    }
+
     /// The revision of the list of backends in hand; 0 before there is one.
     pub fn revision(&self) -> Rc<Cell<u64>> {
         self.revision.clone()
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -4,7 +4,8 @@
 
 use crate::config::{FleetSettings, Upstreams};
 use crate::driver::Clock;
-use lanespan_fleet::node::{Node, FILE, LEAVING, LIST, NUMBER, READY, YES};
+use lanespan_fleet::node::{Node, FILE, LEAVING, LIST, NUMBER, PLAN_AT, READY, YES};
+use lanespan_fleet::plan::replica::Mark;
 use lanespan_fleet::presence::{Counts, Output, Presence, Settings};
 use lanespan_fleet::share::Shares;
 use lanespan_fleet::view::{Change, Standing, View};
@@ -137,6 +138,42 @@
         self.shares.borrow().divisor(self.number, first, spread, self.gateways)
     }
 
+    /// This gateway's name and life.
+    pub fn me(&self) -> (String, u64) {
+        let presence = self.presence.borrow();
+        (presence.me().name.clone(), presence.me().incarnation)
+    }
+
+    /// Tells the others where this gateway's plan is fetched.
+    pub fn tell_plan(&self, address: SocketAddr) {
+        self.presence.borrow_mut().tell(self.now(), PLAN_AT, &address.to_string());
+    }
+
+    /// Tells the others which plan this gateway acts on.
+    pub fn act_on(&self, mark: Mark) {
+        self.presence.borrow_mut().act_on(self.now(), mark);
+    }
+
+    /// The others that are present, the plans that they act on, and whether they are leaving.
+    pub fn marks(&self) -> Vec<(Node, Mark, bool)> {
+        self.presence.borrow().marks()
+    }
+
+    /// What a member told of itself under this name.
+    pub fn fact(&self, node: &Node, fact: &str) -> Option<String> {
+        self.presence.borrow().fact(node, fact)
+    }
+
+    /// A majority confirmed that this gateway leads the plan.
+    pub fn beat(&self, beat: u64) {
+        self.presence.borrow_mut().beat(self.now(), beat);
+    }
+
+    /// How long ago a leader of the plan was last heard of, in microseconds.
+    pub fn beat_age(&self, now: u64) -> u64 {
+        self.presence.borrow().beat_age(now)
+    }
+
     /// What is believed of the fleet.
     pub fn view(&self) -> View {
         self.presence.borrow().view()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod framing;
 pub mod http;
 mod metrics;
+pub mod plan;
 pub mod pool;
 pub mod relay;
 pub mod server;
@@ -22,6 +23,7 @@
 use config_error::ConfigError;
 use driver::{Clock, Driver};
 use fleet::{Fleet, Told};
+use plan::Plan;
 use server::Front;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -39,6 +41,8 @@
     Config(ConfigError),
     /// It could not listen.
     Listen(std::net::SocketAddr, std::io::Error),
+    /// Its plan's store or address can't be used.
+    Plan(String),
     /// Its driver ended.
     Driver,
 }
@@ -48,6 +52,7 @@
         match self {
             RunError::Config(e) => e.fmt(f),
             RunError::Listen(address, e) => write!(f, "can't listen on {address}: {e}"),
+            RunError::Plan(problem) => write!(f, "fleet.plan: {problem}"),
             RunError::Driver => f.write_str("the driver ended"),
         }
     }
@@ -93,13 +98,24 @@
         }
         None => None,
     };
+    let plan = match joins.as_ref().and_then(|set| Some((set, set.plan.as_ref()?, fleet.clone()?))) {
+        Some((set, plan, fleet)) => {
+            let started = Plan::start(plan, &set.cluster, fleet, clock, seed).await;
+            let (plan, listener) = started.map_err(RunError::Plan)?;
+            driver.show_plan(plan.clone());
+            tokio::task::spawn_local(plan::serve::serve(plan.clone(), listener));
+            tokio::task::spawn_local(plan.clone().run(stopping.clone()));
+            Some(plan)
+        }
+        None => None,
+    };
     let (inbox, pool, relays) = (driver.inbox(), driver.pool(), driver.relays());
     let listener = TcpListener::bind(listen).await.map_err(|e| RunError::Listen(listen, e))?;
     if let Some(set) = admin {
         let failed = |e| RunError::Listen(set.listen, e);
         let door = TcpListener::bind(set.listen).await.map_err(failed)?;
         info!(address = %door.local_addr().map_err(failed)?, "the operators' door is open");
-        tokio::task::spawn_local(admin::serve(door, set, inbox.clone(), fleet.clone()));
+        tokio::task::spawn_local(admin::serve(door, set, inbox.clone(), fleet.clone(), plan.clone()));
     }
     let address = listener.local_addr().map_err(|e| RunError::Listen(listen, e))?;
     info!(name, %address, "listening");
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 //! configuration names, so that no client can make more of them.
 
 use crate::fleet::Fleet;
+use crate::plan::Plan;
 use crate::pool::Pool;
 use crate::relay::Relays;
 use lanespan_fleet::wire::Dropped;
@@ -68,6 +69,16 @@
     ("fleet_stalls", "Times that this process stood still"),
 ];
 
+/// The fleet plan here.
+const PLAN: [(&str, &str); 6] = [
+    ("plan_index", "The index of the fleet plan that is acted on"),
+    ("plan_votes", "Whether this gateway votes on it"),
+    ("plan_leads", "Whether it leads the voters"),
+    ("plan_news_age_seconds", "Since a leader with a majority was last heard of"),
+    ("plan_changes", "Entries that were seen to be agreed on since the start"),
+    ("plan_alarms", "Gateways and indexes at which another digest was told"),
+];
+
 /// The figures of the fleet, where there is one.
 struct FleetSeries {
     fleet: Rc<Fleet>,
@@ -98,6 +109,12 @@
     }
 }
 
+/// The figures of the fleet plan, where there is one.
+struct PlanSeries {
+    plan: Rc<Plan>,
+    gauges: [Gauge<f64, AtomicU64>; PLAN.len()],
+}
+
 type Labels = Vec<(&'static str, String)>;
 
 /// What a client got.
@@ -145,6 +162,7 @@
     gauges: [Gauge<f64, AtomicU64>; GAUGES.len()],
     pool: [Counter; POOL.len()],
     fleet: Option<FleetSeries>,
+    plan: Option<PlanSeries>,
 }
 
 /// What is read when somebody asks.
@@ -217,6 +235,7 @@
             gauges,
             pool,
             fleet: None,
+            plan: None,
             registry,
         }
     }
@@ -237,6 +256,12 @@
         self.fleet = Some(FleetSeries { fleet, gauges, counts, dropped });
     }
 
+    /// Tells of this plan too.
+    pub fn show_plan(&mut self, plan: Rc<Plan>) {
+        let gauges = PLAN.map(|of| gauge(&mut self.registry, of));
+        self.plan = Some(PlanSeries { plan, gauges });
+    }
+
     /// A request has its end, after this time.
     pub fn request(&self, class: ClassId, plan: PlanId, got: Final, took: Micros) {
         if let Some(series) = self.requests.get(class.0).and_then(|plans| plans.get(plan.0)) {
@@ -290,6 +315,9 @@
         let totals = [counted.used, counted.reused, counted.dials, counted.failed, counted.denied];
         self.pool.iter().zip(totals).for_each(|(counter, total)| counter.inner().store(total, Relaxed));
         self.fleet.iter().for_each(FleetSeries::read);
+        if let Some(PlanSeries { plan, gauges }) = &self.plan {
+            gauges.iter().zip(plan.figures()).for_each(|(gauge, value)| _ = gauge.set(value));
+        }
         let mut text = String::new();
         // Writing to a String can't fail.
         let _ = encode(&mut text, &self.registry);
--- /dev/null
+++ b/crates/gateway/src/plan/serve.rs
@@ -0,0 +1,122 @@
+//! Where other gateways reach the plan: letters between voters, what followers fetch, proposals and renewals.
+
+use super::peers::LONGEST;
+use super::{Answer, Plan, Renewal};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use lanespan_fleet::plan::document::Proposal;
+use serde::Serialize;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+use tracing::warn;
+
+/// Connections at once. A further one waits until one of them ends.
+const CONNECTIONS: usize = 128;
+/// How long a connection may take over the head of a call, or stand idle.
+const IDLE: Duration = Duration::from_secs(30);
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves other gateways for ever.
+pub async fn serve(plan: Rc<Plan>, listener: TcpListener) {
+    let places = Arc::new(Semaphore::new(CONNECTIONS));
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let plan = plan.clone();
+                tokio::task::spawn_local(async move {
+                    connection(plan, stream).await;
+                    drop(place);
+                });
+            }
+            Err(error) => {
+                warn!(%error, "plan: accept failed");
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(plan: Rc<Plan>, stream: TcpStream) {
+    // It fails only on a connection that is gone.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request| {
+        let plan = plan.clone();
+        async move { Ok::<_, Infallible>(answer(&plan, request).await) }
+    });
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE)
+        .serve_connection(TokioIo::new(stream), service);
+    // Whoever breaks off hears nothing.
+    let _ = serving.await;
+}
+
+type Told = (StatusCode, Bytes);
+
+async fn answer(plan: &Rc<Plan>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, body) = match called(plan, request).await {
+        Ok(told) => told,
+        Err(problem) => (StatusCode::BAD_REQUEST, Bytes::from(problem)),
+    };
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
+
+async fn called(plan: &Rc<Plan>, request: Request<Incoming>) -> Result<Told, String> {
+    let (head, body) = request.into_parts();
+    let (method, path) = (head.method, head.uri.path().to_string());
+    let body = Limited::new(body, LONGEST).collect().await.map_err(|e| e.to_string())?.to_bytes();
+    let bad = |e: serde_json::Error| e.to_string();
+    match (&method, path.as_str()) {
+        (&Method::POST, "/plan/letters") => {
+            plan.letters(postcard::from_bytes(&body).map_err(|e| e.to_string())?);
+            Ok((StatusCode::NO_CONTENT, Bytes::new()))
+        }
+        (&Method::GET, "/plan/hello") => json(StatusCode::OK, &plan.hello()),
+        (&Method::GET, "/plan/news") => {
+            let after = head.uri.query().and_then(|query| query.strip_prefix("after="));
+            let after = after.and_then(|after| after.parse::<i64>().ok()).ok_or("expected after=INDEX")?;
+            let news = postcard::to_allocvec(&plan.news(after)).map_err(|e| e.to_string())?;
+            Ok((StatusCode::OK, news.into()))
+        }
+        (&Method::POST, "/plan/propose") => {
+            let proposal: Proposal = serde_json::from_slice(&body).map_err(bad)?;
+            told(plan.propose(proposal).await)
+        }
+        (&Method::POST, "/plan/renew") => {
+            let renewal: Renewal = serde_json::from_slice(&body).map_err(bad)?;
+            told(plan.renew(renewal).await)
+        }
+        _ => Ok((StatusCode::NOT_FOUND, Bytes::from_static(b"no such path\n"))),
+    }
+}
+
+/// An answer with the status that says whether it is one: whoever asked the wrong gateway is told the right one.
+pub fn told(answer: Answer) -> Result<Told, String> {
+    let status = match &answer {
+        Answer::Decided(_) | Answer::Renewed(_) => StatusCode::OK,
+        Answer::Elsewhere(_) => StatusCode::MISDIRECTED_REQUEST,
+        Answer::Busy => StatusCode::SERVICE_UNAVAILABLE,
+        Answer::Open(_) => StatusCode::GATEWAY_TIMEOUT,
+        Answer::Wrong(_) => StatusCode::BAD_REQUEST,
+    };
+    json(status, &answer)
+}
+
+fn json(status: StatusCode, value: &impl Serialize) -> Result<Told, String> {
+    let mut text = serde_json::to_vec(value).map_err(|e| e.to_string())?;
+    text.push(b'\n');
+    Ok((status, text.into()))
+}
--- a/crates/lab/src/checks.rs
+++ b/crates/lab/src/checks.rs
@@ -190,6 +190,66 @@
     rows.max_by_key(|row| row["incarnation"].as_u64()).and_then(|row| row["standing"].as_str())
 }
 
+/// Whether the plans of these are one.
+pub fn one_plan(told: &BTreeMap<String, Value>) -> bool {
+    let marks: BTreeSet<String> =
+        told.values().map(|plan| format!("{} {} {}", plan["plan"], plan["index"], plan["digest"])).collect();
+    marks.len() == 1 && told.values().all(|plan| plan["plan"] != "0000000000000000")
+}
+
+/// After the end all gateways have one plan; each index had one content at every gateway in every life, tokens in the
+/// order of indexes; and what was told as agreed is there.
+pub async fn of_plan(rig: &Rig, experiment: &Experiment) -> Vec<Broken> {
+    let mut found = Vec::new();
+    let (patience, running) = (experiment.checks.agree_within, rig.running().count());
+    let patience = Duration::from_secs_f64(patience);
+    let agreed =
+        rig.wait_for("one plan", "/fleet/plan", patience, |told| told.len() == running && one_plan(told));
+    found.extend(agreed.await.err().map(|problem| broken("one plan", problem)));
+    // By the lines that each life wrote, not by what it says now.
+    let mut contents = BTreeMap::<u64, (String, String)>::new();
+    for gateway in &rig.gateways {
+        for life in 1..=gateway.lives.get() {
+            let log = rig.directory.join(format!("{}-{life}.log", gateway.name));
+            let log = std::fs::read_to_string(log).unwrap_or_default();
+            for line in log.lines().filter(|line| line.contains("plan: two gateways differ")) {
+                found.push(broken("one plan", format!("{}: {line}", gateway.name)));
+            }
+            for said in log.lines().filter_map(|line| line.split_once("plan: changed index=")) {
+                let Some((index, content)) = said.1.split_once(' ') else { continue };
+                let Ok(index) = index.parse::<u64>() else { continue };
+                let first =
+                    contents.entry(index).or_insert_with(|| (content.to_string(), gateway.name.clone()));
+                if first.0 != content {
+                    let seen =
+                        format!("index {index}: {} has '{}', {} '{content}'", first.1, first.0, gateway.name);
+                    found.push(broken("one history", seen));
+                }
+            }
+        }
+    }
+    let token = |content: &str| {
+        let token = content.strip_prefix("token=")?.split(' ').next()?.split_once('.')?;
+        Some((token.0.parse::<u64>().ok()?, token.1.parse::<u64>().ok()?))
+    };
+    let tokens: Vec<_> = contents.iter().map(|(index, (content, _))| (*index, token(content))).collect();
+    for pair in tokens.windows(2).filter(|pair| pair[0].1 >= pair[1].1 || pair[1].1.is_none()) {
+        found.push(broken("tokens in order", format!("{pair:?}")));
+    }
+    for (index, value) in rig.proposals.borrow().iter() {
+        let there =
+            contents.get(index).is_some_and(|(content, _)| content.contains(&format!("value=\"{value}\"")));
+        if !there {
+            found.push(broken(
+                "one history",
+                format!("{value} was told as agreed at {index} and is not there"),
+            ));
+        }
+    }
+    found.truncate(TOLD);
+    found
+}
+
 /// After the end all views agree, and who was told to end is known to have left.
 pub async fn of_views(rig: &Rig, experiment: &Experiment) -> Vec<Broken> {
     let mut found = Vec::new();
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -57,6 +57,30 @@
     /// What each one's clock shows beyond the machine's, in milliseconds, by name.
     #[serde(default)]
     pub clock_ahead_ms: BTreeMap<String, i64>,
+    /// The fleet plan; without it they have no `fleet.plan` section.
+    pub plan: Option<PlanOf>,
+}
+
+/// The fleet plan: `g0`, `g1` and on vote.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PlanOf {
+    /// How many vote: 1, 3 or 5.
+    pub voters: usize,
+    /// A tick of the voters.
+    pub tick_ms: u64,
+    /// How long a duty is held without a renewal.
+    pub lease_ms: u64,
+    /// How long the last plan is acted on without news, and how long giving it up takes, in seconds.
+    pub trust_s: u64,
+    /// The latter.
+    pub ramp_s: u64,
+}
+
+impl Default for PlanOf {
+    fn default() -> PlanOf {
+        PlanOf { voters: 3, tick_ms: 40, lease_ms: 2_000, trust_s: 5, ramp_s: 5 }
+    }
 }
 
 fn probe() -> u64 {
@@ -157,6 +181,15 @@
     Partition(Vec<Parties>),
     /// All links are whole again.
     Heal,
+    /// An item of the fleet plan is proposed, to one gateway after the other until one decides.
+    Propose {
+        /// The section.
+        section: String,
+        /// The item.
+        key: String,
+        /// What it is to hold.
+        value: String,
+    },
 }
 
 /// What must hold. What is given by number is a bound that must not be passed.
@@ -190,6 +223,9 @@
         match () {
             () if zones == 0 => wrong("regions: expected a zone at least"),
             () if !(1..=60).contains(&read.gateways.count) => wrong("gateways.count: expected 1 to 60"),
+            () if read.gateways.plan.as_ref().is_some_and(|plan| plan.voters > read.gateways.count) => {
+                wrong("gateways.plan.voters: expected no more than gateways.count")
+            }
             () if !(1..=200).contains(&read.backends.count) => wrong("backends.count: expected 1 to 200"),
             () if !(read.seconds > 0.0 && read.seconds <= 3_600.0) => wrong("seconds: expected up to 3600"),
             () if !(0.0..=5_000.0).contains(&read.load.rate) => wrong("load.rate: expected 0 to 5000"),
--- a/crates/lab/src/gateway.rs
+++ b/crates/lab/src/gateway.rs
@@ -55,6 +55,8 @@
     pub door: Target,
     /// The fleet's socket.
     pub fleet: Target,
+    /// Where the others reach its plan.
+    pub plan: Target,
     /// How it stands.
     pub running: Cell<Running>,
     /// Ends that nobody asked for.
@@ -98,6 +100,7 @@
             clients: nowhere(),
             door: nowhere(),
             fleet: nowhere(),
+            plan: nowhere(),
             running: Cell::new(Running::No),
             crashes: RefCell::default(),
             excused: RefCell::default(),
@@ -141,12 +144,14 @@
         let gateway = self.clone();
         spawn_local(async move { gateway.watch(child, reading).await });
         let fleet = self.config.borrow().get("fleet").is_some();
+        let plan = self.config.borrow().pointer("/fleet/plan").is_some_and(Value::is_object);
         for (line, target) in [
             ("fleet: joining", &self.fleet),
+            ("plan: open", &self.plan),
             ("the operators' door is open", &self.door),
             ("listening", &self.clients),
         ] {
-            if line.contains("fleet") && !fleet {
+            if line.contains("fleet") && !fleet || line.contains("plan") && !plan {
                 continue;
             }
             let line = self.line(line, START).await?;
--- a/crates/lab/src/http.rs
+++ b/crates/lab/src/http.rs
@@ -4,7 +4,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::future::Future;
@@ -96,10 +96,20 @@
 
 /// Asks for a path on a connection of its own.
 pub async fn get(address: SocketAddr, path: &str) -> Result<(u16, Bytes), String> {
+    call(address, Method::GET, path, Bytes::new()).await
+}
+
+/// Calls a path on a connection of its own.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: impl Into<Bytes>,
+) -> Result<(u16, Bytes), String> {
     let asking = async {
         let mut sender = connect(address, |_| ()).await?;
-        let request = Request::get(path).header("Host", "lab").body(Full::default());
-        let request = request.map_err(|e| e.to_string())?;
+        let request = Request::builder().method(method).uri(path).header("Host", "lab");
+        let request = request.body(Full::new(body.into())).map_err(|e| e.to_string())?;
         collect(sender.send_request(request).await.map_err(|e| e.to_string())?).await
     };
     timeout(PATIENCE, asking).await.unwrap_or_else(|_| Err("no answer in time".to_string()))
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -10,6 +10,7 @@
 use crate::stand_in::counter::Counter;
 use crate::stand_in::discovery::{Discovery, Routes};
 use crate::stand_in::Door;
+use hyper::Method;
 use serde_json::{json, Value};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -55,6 +56,8 @@
     pub leavers: RefCell<BTreeSet<String>>,
     /// Where files and logs are.
     pub directory: PathBuf,
+    /// What was told as agreed of the plan: the index and the value.
+    pub proposals: Rc<RefCell<Vec<(u64, String)>>>,
     experiment: Experiment,
     generator: Rc<Generator>,
     began: Instant,
@@ -117,13 +120,28 @@
             let list = links.tcp(&gateway.name, "discovery", door.target.clone()).await.map_err(told)?;
             let count =
                 links.tcp(&gateway.name, "counter", counter.door.target.clone()).await.map_err(told)?;
-            let mut via = BTreeMap::new();
+            let (mut via, mut plan_via) = (BTreeMap::new(), BTreeMap::new());
             for other in gateways.iter().filter(|other| other.name != gateway.name) {
                 let at = links.udp(&gateway.name, &other.name, other.fleet.clone()).await.map_err(told)?;
                 via.insert(other.advertised, at);
+                if experiment.gateways.plan.is_some() {
+                    let at = links.tcp(&gateway.name, &other.name, other.plan.clone()).await.map_err(told)?;
+                    plan_via.insert(plan_address(other), at);
+                }
             }
             doors.push(door);
             let mut told = config(experiment, gateway, place, list, count, &via);
+            if let Some(plan) = &experiment.gateways.plan {
+                let voters = gateways[..plan.voters].iter().map(|voter| {
+                    (voter.name.clone(), json!({ "zone": voter.zone, "address": plan_address(voter) }))
+                });
+                told["fleet"]["plan"] = json!({
+                    "listen": "127.0.0.1:0", "advertise": plan_address(gateway), "via": plan_via,
+                    "voters": voters.collect::<serde_json::Map<_, _>>(),
+                    "directory": directory.join(format!("{}-plan", gateway.name)),
+                    "tick_ms": plan.tick_ms, "lease_ms": plan.lease_ms, "trust_s": plan.trust_s, "ramp_s": plan.ramp_s,
+                });
+            }
             change(&mut told);
             *gateway.config.borrow_mut() = told;
         }
@@ -144,6 +162,7 @@
             generator,
             began,
             doors,
+            proposals: Rc::default(),
         };
         for gateway in &rig.gateways {
             gateway.start().await?;
@@ -219,7 +238,40 @@
         self.wait_for_views("views that agree", patience, |views| checks::agree(views, &running)).await
     }
 
-    fn running(&self) -> impl Iterator<Item = &Rc<Gateway>> {
+    /// What every running gateway says at a path of its door.
+    pub async fn told(&self, path: &str) -> BTreeMap<String, Value> {
+        let mut told = BTreeMap::new();
+        for gateway in self.running() {
+            if let Ok(answer) = gateway.ask(path).await {
+                told.insert(gateway.name.clone(), answer);
+            }
+        }
+        told
+    }
+
+    /// Waits until what every running gateway says at a path of its door is so.
+    pub async fn wait_for(
+        &self,
+        what: &str,
+        path: &str,
+        patience: Duration,
+        so: impl Fn(&BTreeMap<String, Value>) -> bool,
+    ) -> Result<BTreeMap<String, Value>, String> {
+        let until = Instant::now() + patience;
+        loop {
+            let told = self.told(path).await;
+            if so(&told) {
+                return Ok(told);
+            }
+            if Instant::now() >= until {
+                return Err(format!("waited {patience:?} in vain for {what}: {}", json!(told)));
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// The gateways that run.
+    pub fn running(&self) -> impl Iterator<Item = &Rc<Gateway>> {
         self.gateways.iter().filter(|gateway| gateway.running.get() == Running::Yes)
     }
 
@@ -342,6 +394,16 @@
                 }
             }
             Act::Heal => self.links.heal(),
+            Act::Propose { section, key, value } => {
+                let (doors, told) = (self.gateways.clone(), self.proposals.clone());
+                let (section, key, value) = (section.clone(), key.clone(), value.clone());
+                let id = fastrand::Rng::with_seed(self.elapsed().as_nanos() as u64).u64(1..);
+                spawn_local(async move {
+                    if let Some(index) = propose(&doors, id, &section, &key, &value).await {
+                        told.borrow_mut().push((index, value));
+                    }
+                });
+            }
         }
         Ok(())
     }
@@ -393,6 +455,9 @@
         if self.experiment.gateways.fleet {
             broken.extend(checks::of_views(self, &self.experiment).await);
         }
+        if self.experiment.gateways.plan.is_some() {
+            broken.extend(checks::of_plan(self, &self.experiment).await);
+        }
         broken
     }
 
@@ -415,6 +480,32 @@
     }
 }
 
+/// Where the others are told that a gateway's plan is.
+pub fn plan_address(gateway: &Gateway) -> SocketAddr {
+    SocketAddr::new(gateway.advertised.ip(), gateway.advertised.port() + 1)
+}
+
+/// Proposes at one gateway after the other until one decides; the index, if it was agreed on.
+async fn propose(doors: &[Rc<Gateway>], id: u64, section: &str, key: &str, value: &str) -> Option<u64> {
+    let body = json!({
+        "id": id, "schema": 1, "proposer": "rig", "reason": "an experiment", "section": section, "key": key,
+        "value": value,
+    });
+    let until = Instant::now() + END * 3;
+    while Instant::now() < until {
+        for gateway in doors.iter().filter(|gateway| gateway.running.get() == Running::Yes) {
+            let path = "/fleet/plan/propose";
+            let answer = crate::http::call(gateway.door.get(), Method::POST, path, body.to_string()).await;
+            let Ok((200, answer)) = answer else { continue };
+            let answer: Value = serde_json::from_slice(&answer).ok()?;
+            let verdict = &answer["Decided"];
+            return verdict["Agreed"].as_u64().or(verdict["Known"].as_u64());
+        }
+        sleep(LOOK).await;
+    }
+    None
+}
+
 /// What a view says, in a few words.
 fn summary(name: &str, view: &Value) -> String {
     let members = view["members"].as_array().into_iter().flatten();
--- a/crates/lanespan/src/cli.rs
+++ b/crates/lanespan/src/cli.rs
@@ -68,6 +68,98 @@
     #[command(after_help = "Examples:\n  lanespan fleet members --admin 127.0.0.1:9901\n  \
         lanespan fleet members --config lanespan.toml --json")]
     Members(Status),
+    /// Show and change the plan that all gateways act on
+    #[command(subcommand)]
+    Plan(PlanCommand),
+    /// Add and remove those that vote on the plan, one at a time
+    #[command(subcommand)]
+    Voters(VotersCommand),
+    /// List who holds which duty
+    #[command(after_help = "Example:\n  lanespan fleet duties --admin 127.0.0.1:9901")]
+    Duties(Status),
+}
+
+#[derive(Subcommand)]
+pub enum PlanCommand {
+    /// Show the plan that a gateway acts on
+    #[command(after_help = "Example:\n  lanespan fleet plan show --admin 127.0.0.1:9901")]
+    Show(Status),
+    /// List the entries that a gateway still keeps
+    History(Status),
+    /// Propose a change; exit code 3 if it is refused, 4 if another gateway decides, 5 if it is not decided in time
+    #[command(
+        after_help = "Example:\n  lanespan fleet plan propose versions floor 17 --reason \"release 17\" \\\n    \
+        --admin 127.0.0.1:9901"
+    )]
+    Propose(ProposeArgs),
+    /// List what changed after one index up to another
+    Diff {
+        /// The earlier index
+        from: u64,
+        /// The later index
+        to: u64,
+        #[command(flatten)]
+        asked: Status,
+    },
+}
+
+#[derive(Args)]
+pub struct ProposeArgs {
+    /// The section
+    pub section: String,
+    /// The item
+    pub key: String,
+    /// What it holds from now on; without one it is removed
+    pub value: Option<String>,
+    /// Why
+    #[arg(long)]
+    pub reason: String,
+    /// Who asks
+    #[arg(long, default_value = "operator")]
+    pub proposer: String,
+    /// A digest of what it was concluded from
+    #[arg(long, default_value = "")]
+    pub evidence: String,
+    /// Only if the plan is at this index
+    #[arg(long)]
+    pub expected: Option<u64>,
+    /// Only if the item was last changed at this index; 0: only if it is not there
+    #[arg(long)]
+    pub after: Option<u64>,
+    /// The id under which it was sent before
+    #[arg(long)]
+    pub id: Option<u64>,
+    #[command(flatten)]
+    pub asked: Status,
+}
+
+#[derive(Subcommand)]
+pub enum VotersCommand {
+    /// Add a gateway that has a plan directory
+    Add {
+        /// Its name
+        name: String,
+        /// Its plan's address
+        address: SocketAddr,
+        /// Its zone
+        #[arg(long)]
+        zone: String,
+        /// Why
+        #[arg(long)]
+        reason: String,
+        #[command(flatten)]
+        asked: Status,
+    },
+    /// Remove one
+    Remove {
+        /// Its name
+        name: String,
+        /// Why
+        #[arg(long)]
+        reason: String,
+        #[command(flatten)]
+        asked: Status,
+    },
 }
 
 #[derive(Args)]
--- a/crates/lanespan/src/main.rs
+++ b/crates/lanespan/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod fleet;
+mod plan;
 mod run;
 mod status;
 
@@ -34,6 +35,9 @@
         Command::Config(ConfigCommand::Reference) => print(&document::reference()),
         Command::Status(asked) => ask(&asked, status::STATE, status::table),
         Command::Fleet(FleetCommand::Members(asked)) => ask(&asked, fleet::MEMBERS, fleet::table),
+        Command::Fleet(FleetCommand::Plan(command)) => plan::plan(&command),
+        Command::Fleet(FleetCommand::Voters(command)) => plan::voters(&command),
+        Command::Fleet(FleetCommand::Duties(asked)) => ask(&asked, plan::DUTIES, plan::duties),
         Command::Completions { shell } => print(&cli::completions(shell)),
     }
 }
@@ -100,7 +104,7 @@
             let name = key.rsplit('.').next().unwrap_or(key);
             let there = EXAMPLE.lines().any(|line| {
                 let line = line.trim_start_matches("# ");
-                line.starts_with(&format!("{name} =")) || line.starts_with(&format!("[{name}"))
+                line.starts_with(&format!("{name} =")) || line.starts_with(&format!("[{key}"))
             });
             assert!(there, "{key} is not in the example");
         }
--- a/crates/lanespan/src/status.rs
+++ b/crates/lanespan/src/status.rs
@@ -16,24 +16,33 @@
 
 /// What the gateway behind this door says at this path.
 pub fn ask(admin: SocketAddr, path: &str) -> Result<Value, String> {
-    let text = get(admin, path).map_err(|error| format!("{admin}: {error}"))?;
+    match call(admin, "GET", path, "")? {
+        (200, body) => serde_json::from_str(&body).map_err(|error| format!("{admin}: not JSON: {error}")),
+        (status, _) => Err(format!("{admin}: answered {status}")),
+    }
+}
+
+/// The status and body of its answer to a call.
+pub fn call(admin: SocketAddr, method: &str, path: &str, body: &str) -> Result<(u16, String), String> {
+    let text = exchange(admin, method, path, body).map_err(|error| format!("{admin}: {error}"))?;
     let (head, body) = text.split_once("\r\n\r\n").ok_or_else(|| format!("{admin}: not an answer"))?;
-    match head.lines().next() {
-        Some(line) if line.contains(" 200 ") => {
-            serde_json::from_str(body).map_err(|error| format!("{admin}: not JSON: {error}"))
-        }
-        Some(line) if line.contains(" 404 ") => {
-            Err(format!("{admin}: has no {path}; is its section configured?"))
-        }
-        line => Err(format!("{admin}: answered {}", line.unwrap_or("nothing"))),
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
+    match status {
+        Some(404) => Err(format!("{admin}: has no {path}; is its section configured?")),
+        Some(status) => Ok((status, body.to_string())),
+        None => Err(format!("{admin}: answered {}", head.lines().next().unwrap_or("nothing"))),
     }
 }
 
-fn get(admin: SocketAddr, path: &str) -> std::io::Result<String> {
+fn exchange(admin: SocketAddr, method: &str, path: &str, body: &str) -> std::io::Result<String> {
     let mut stream = TcpStream::connect_timeout(&admin, PATIENCE)?;
     stream.set_read_timeout(Some(PATIENCE))?;
     stream.set_write_timeout(Some(PATIENCE))?;
-    write!(stream, "GET {path} HTTP/1.1\r\nHost: {admin}\r\nConnection: close\r\n\r\n")?;
+    let length = body.len();
+    write!(
+        stream,
+        "{method} {path} HTTP/1.1\r\nHost: {admin}\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}"
+    )?;
     let mut text = String::new();
     stream.take(LONGEST).read_to_string(&mut text)?;
     Ok(text)
