Plan tests with real processes: leaders and holders that die or stall, lost majorities, stores

The plan was shown on a virtual network only. Seven tests start six gateways each and kill or stall leaders and holders, take majorities away, cut zones and links one way, empty and damage stores, roll all gateways under load. They found that an emptied store got its old identity back, as it was drawn from the configured seed: it is drawn from the life and chance now.

--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -164,7 +164,9 @@
         let mut rng = fastrand::Rng::with_seed(seed ^ 0x706c_616e);
         let (mut store, mut voter, mut replica) = (None, None, Replica::default());
         if let Some(directory) = &set.directory {
-            let (opened, durable) = Store::open(directory, rng.u64(1..))?;
+            // Not from the seed, which is the same after a restart: an empty store must be nobody's old one.
+            let new = format!("{:?} {} {}", fleet.me(), clock.now().0, fastrand::u64(..));
+            let (opened, durable) = Store::open(directory, xxh3_64(new.as_bytes()).max(1))?;
             let owner = opened.owner();
             if let Some(durable) = durable {
                 let there = Voter::new(owner.id, owner.plan, &durable, rng.u64(..));
--- a/crates/lanespan/tests/plan.rs
+++ b/crates/lanespan/tests/plan.rs
@@ -2,7 +2,7 @@
 
 use lanespan_lab::checks::one_plan;
 use lanespan_lab::experiment::{Act, Experiment};
-use lanespan_lab::gateway::{Gateway, Running};
+use lanespan_lab::gateway::Gateway;
 use lanespan_lab::links::Fault;
 use lanespan_lab::rig::{plan_address, play, Rig};
 use serde_json::{json, Value};
@@ -97,6 +97,11 @@
     asking.join().expect("no panic").expect("it runs")
 }
 
+async fn ask_leader(rig: &Rig, words: &[&str]) -> Output {
+    let there = leader(rig).await;
+    ask(&there, words).await
+}
+
 fn text(output: &Output) -> String {
     String::from_utf8_lossy(&[output.stdout.as_slice(), output.stderr.as_slice()].concat()).into_owned()
 }
@@ -104,8 +109,8 @@
 /// Proposes at whoever leads until it is agreed on.
 async fn agree(rig: &Rig, value: &str) -> u64 {
     loop {
-        let there = leader(rig).await;
-        let told = ask(&there, &["plan", "propose", "versions", "floor", value, "--reason", "a test"]).await;
+        let told =
+            ask_leader(rig, &["plan", "propose", "versions", "floor", value, "--reason", "a test"]).await;
         if told.status.success() {
             let told = text(&told);
             return told.trim().rsplit(' ').next().and_then(|index| index.parse().ok()).expect("an index");
@@ -198,3 +203,238 @@
         unbroken(&rig).await;
     });
 }
+
+#[test]
+fn a_killed_leader_is_followed_by_another_and_all_voters_killed_come_back_with_the_plan() {
+    with(fleet(6, 3), |rig| async move {
+        let first = agree(&rig, "1").await;
+        all_at(&rig, first).await;
+        let old = leader(&rig).await;
+        act(&rig, Act::Kill(vec![old.name.clone()])).await;
+        let second = agree(&rig, "2").await;
+        all_at(&rig, second).await;
+        act(&rig, Act::Start(vec![old.name.clone()])).await;
+        all_at(&rig, second).await;
+        act(&rig, Act::Kill(names(&["g0", "g1", "g2"]))).await;
+        for voter in &rig.gateways[..3] {
+            voter.wait_for_end().await;
+        }
+        act(&rig, Act::Start(names(&["g0", "g1", "g2"]))).await;
+        assert!(rig.gateway(0).line("plan: open", PATIENCE).await.expect("a line").contains("votes=true"));
+        let third = agree(&rig, "3").await;
+        assert!(third > second, "the plan goes on where it was");
+        all_at(&rig, third).await;
+        unbroken(&rig).await;
+    });
+}
+
+#[test]
+fn a_holder_that_stands_still_past_its_lease_is_followed_and_acts_no_more_when_it_goes_on() {
+    with(fleet(6, 3), |rig| async move {
+        for of in ["failover", "work"] {
+            let before = holder(&rig, of).await;
+            act(&rig, Act::Stop(vec![before.0.clone()])).await;
+            // Also where the holder leads: then it is another leader's grant.
+            let after = taken_by_another(&rig, of, &before).await;
+            act(&rig, Act::Resume(vec![before.0.clone()])).await;
+            let old = named(&rig, &before.0);
+            old.line(&format!("plan: duty lost duty=\"{of}\""), PATIENCE)
+                .await
+                .expect("it sees that it is over");
+            let told = old.ask("/fleet/duties").await.expect("it answers");
+            let row =
+                told["duties"].as_array().expect("rows").iter().find(|row| row["duty"] == of).expect("there");
+            assert!(row["held_here"] == false || after.0 == before.0, "{told}");
+            // What it asks for under its old token is refused, wherever it is heard.
+            all_at(&rig, 1).await;
+            let stale = json!({
+                "id": 4_000 + after.1.1, "schema": 1, "proposer": before.0, "reason": "late", "section": of,
+                "key": "x", "value": "late", "duty": [of, { "term": before.1.0, "index": before.1.1 }],
+            });
+            loop {
+                let door = leader(&rig).await.door.get();
+                let path = "/fleet/plan/propose";
+                let answer =
+                    lanespan_lab::http::call(door, hyper::Method::POST, path, stale.to_string()).await;
+                let (status, body) = answer.expect("an answer");
+                if status == 200 {
+                    let answer: Value = serde_json::from_slice(&body).expect("JSON");
+                    assert!(answer["Decided"]["Refused"]["Fenced"].is_object(), "{answer}");
+                    break;
+                }
+            }
+        }
+        rig.agreed(PATIENCE).await.expect("one view");
+        unbroken(&rig).await;
+    });
+}
+
+#[test]
+fn a_holder_that_is_told_to_end_gives_its_duty_back_before_its_lease_is_over() {
+    let mut experiment = fleet(6, 3);
+    // Longer than the test waits: only what is given back can move.
+    if let Some(plan) = &mut experiment.gateways.plan {
+        plan.lease_ms = 600_000;
+    }
+    with(experiment, |rig| async move {
+        let before = holder(&rig, "work").await;
+        act(&rig, Act::Terminate(vec![before.0.clone()])).await;
+        let after = taken_by_another(&rig, "work", &before).await;
+        assert!(after.1 > before.1);
+        named(&rig, &before.0).wait_for_end().await;
+        unbroken(&rig).await;
+    });
+}
+
+#[test]
+fn without_a_majority_requests_go_on_proposals_do_not_and_trust_is_given_up_until_it_is_back() {
+    with(fleet(6, 3), |rig| async move {
+        let before = agree(&rig, "1").await;
+        all_at(&rig, before).await;
+        let there = leader(&rig).await;
+        let others: Vec<String> =
+            rig.gateways[..3].iter().filter(|g| g.name != there.name).map(|g| g.name.clone()).collect();
+        act(&rig, Act::Kill(others.clone())).await;
+        let trust = |told: &BTreeMap<String, Value>| told.values().all(|plan| plan["trust"] == 0.0);
+        rig.wait_for("trust given up", "/fleet/plan", PATIENCE, trust).await.expect("by all");
+        for gateway in rig.running() {
+            gateway.line("no news of a leader with a majority", PATIENCE).await.expect("told plainly");
+        }
+        let told = ask(&there, &["plan", "propose", "versions", "floor", "2", "--reason", "a test"]).await;
+        assert!(matches!(told.status.code(), Some(4 | 5)), "{}", text(&told));
+        rig.run().await.expect("it plays");
+        let report = rig.report(Vec::new());
+        assert!(report.fates.get("served").is_some_and(|served| *served > 60), "{}", report.text());
+        act(&rig, Act::Start(others)).await;
+        let after = agree(&rig, "3").await;
+        assert!(after > before);
+        all_at(&rig, after).await;
+        let trust = |told: &BTreeMap<String, Value>| told.values().all(|plan| plan["trust"] == 1.0);
+        rig.wait_for("trust again", "/fleet/plan", PATIENCE, trust).await.expect("by all");
+        unbroken(&rig).await;
+    });
+}
+
+#[test]
+fn partitions_one_way_cuts_and_late_links_leave_one_history_and_the_majority_goes_on() {
+    with(fleet(6, 5), |rig| async move {
+        let cut = Fault { cut: true, ..Fault::default() };
+        for round in 0..4 {
+            let there = leader(&rig).await;
+            let zone = format!("zone:{}", there.zone);
+            let others: Vec<String> = ["zone:a", "zone:b", "zone:c"]
+                .iter()
+                .filter(|other| **other != zone)
+                .map(|z| z.to_string())
+                .collect();
+            let partition = match round {
+                // The leader's zone is cut off; it may hold two of five.
+                0 => Act::Partition(vec![vec![zone], others]),
+                // The leader hears all and is heard by none.
+                1 => Act::Link { from: vec![there.name.clone()], to: names(&["gateways"]), fault: cut },
+                // One link, one way.
+                2 => {
+                    let to = rig.gateways[..5].iter().find(|g| g.name != there.name).expect("another");
+                    Act::Link { from: vec![there.name.clone()], to: vec![to.name.clone()], fault: cut }
+                }
+                // Loss where there are datagrams, and letters that take longer than an election.
+                _ => {
+                    let fault = Fault { drop: 0.3, delay_ms: 150, jitter_ms: 300, ..Fault::default() };
+                    Act::Link { from: vec![there.name.clone()], to: names(&["gateways"]), fault }
+                }
+            };
+            act(&rig, partition).await;
+            for value in 0..3 {
+                let (section, key) = ("versions".to_string(), "floor".to_string());
+                act(&rig, Act::Propose { section, key, value: format!("{round}.{value}") }).await;
+            }
+            let told = rig.proposals.clone();
+            let wanted = 3 * (round + 1);
+            rig.wait("all agreed", PATIENCE, || told.borrow().len() >= wanted)
+                .await
+                .expect("the majority goes on");
+            act(&rig, Act::Heal).await;
+            let last = told.borrow().iter().map(|(index, _)| *index).max().expect("some");
+            all_at(&rig, last).await;
+        }
+        unbroken(&rig).await;
+    });
+}
+
+#[test]
+fn an_emptied_store_does_not_vote_and_returns_as_a_new_voter_and_a_damaged_one_does_not_start() {
+    with(fleet(6, 3), |rig| async move {
+        let before = agree(&rig, "1").await;
+        all_at(&rig, before).await;
+        let there = leader(&rig).await;
+        let victim = rig.gateways[..3].iter().find(|g| g.name != there.name).expect("another").clone();
+        let store = rig.directory.join(format!("{}-plan", victim.name)).join("plan.redb");
+        // A second process on a directory that is in use.
+        let second = named(&rig, "g5");
+        act(&rig, Act::Kill(names(&["g5"]))).await;
+        let own = second.config.borrow()["fleet"]["plan"]["directory"].clone();
+        let taken = store.parent().expect("a folder").display().to_string();
+        second.config.borrow_mut()["fleet"]["plan"]["directory"] = json!(taken);
+        let refused = second.start().await.expect_err("the directory is taken");
+        assert!(refused.contains("plan.redb") && refused.contains("open"), "{refused}");
+        second.config.borrow_mut()["fleet"]["plan"]["directory"] = own;
+        act(&rig, Act::Start(names(&["g5"]))).await;
+        second.crashes.borrow_mut().clear();
+        // Damage in the middle of what is read.
+        act(&rig, Act::Kill(vec![victim.name.clone()])).await;
+        let whole = std::fs::read(&store).expect("there");
+        let damaged: Vec<u8> = whole.iter().map(|byte| byte ^ 0x55).collect();
+        std::fs::write(&store, damaged).expect("written");
+        let refused = victim.start().await.expect_err("damaged");
+        assert!(refused.contains("plan.redb"), "{refused}");
+        victim.crashes.borrow_mut().clear();
+        std::fs::remove_file(&store).expect("there");
+        act(&rig, Act::Start(vec![victim.name.clone()])).await;
+        victim.line("the plan knows another under this name", PATIENCE).await.expect("told plainly");
+        let plan = victim.ask("/fleet/plan").await.expect("it answers");
+        assert_eq!(plan["votes"], false, "{plan}");
+        // It still follows.
+        let after = agree(&rig, "2").await;
+        all_at(&rig, after).await;
+        let (name, address) = (victim.name.as_str(), plan_address(&victim).to_string());
+        let removed = ask_leader(&rig, &["voters", "remove", name, "--reason", "its disk"]).await;
+        assert!(removed.status.success(), "{}", text(&removed));
+        let add = ["voters", "add", name, &address, "--zone", &victim.zone, "--reason", "a new disk"];
+        let added = ask_leader(&rig, &add).await;
+        assert!(added.status.success(), "{}", text(&added));
+        let twice = ask_leader(&rig, &add).await;
+        assert_eq!(twice.status.code(), Some(2), "{}", text(&twice));
+        let lopsided = ["voters", "add", "g3", &plan_address(&named(&rig, "g3")).to_string(), "--zone", "a"];
+        let lopsided = [&lopsided[..], &["--reason", "a test"]].concat();
+        assert!(ask_leader(&rig, &lopsided).await.status.success(), "two of four are no majority");
+        // It votes: with one of the other old ones gone, three of four are there only with it.
+        let votes = |told: &BTreeMap<String, Value>| told[name]["votes"] == true;
+        rig.wait_for("it votes", "/fleet/plan", PATIENCE, votes).await.expect("it votes");
+        let gone =
+            rig.gateways[..3].iter().find(|g| g.name != victim.name && g.name != "g0").expect("another");
+        act(&rig, Act::Kill(vec![gone.name.clone()])).await;
+        let last = agree(&rig, "3").await;
+        all_at(&rig, last).await;
+        unbroken(&rig).await;
+    });
+}
+
+#[test]
+fn a_roll_of_all_gateways_under_load_keeps_one_history_and_loses_no_answer() {
+    let mut experiment = fleet(6, 3);
+    experiment.seconds = 6.0;
+    with(experiment, |rig| async move {
+        let rolling = async {
+            for gateway in &rig.gateways {
+                let (section, key, value) = ("work".to_string(), gateway.name.clone(), gateway.name.clone());
+                act(&rig, Act::Propose { section, key, value }).await;
+                act(&rig, Act::Roll(vec![gateway.name.clone()])).await;
+            }
+        };
+        let (played, ()) = tokio::join!(rig.run(), rolling);
+        played.expect("it plays");
+        let told = rig.proposals.clone();
+        rig.wait("all agreed", PATIENCE, || told.borrow().len() >= 6).await.expect("each of them");
+        unbroken(&rig).await;
+    });
+}
