Experiment: the leader's zone cut off, its leader stalled and killed, while plans change

The plan's issue ends with an experiment of 12 gateways under load. experiments/agreed-plan.toml plays it in 40 s, its short form is a test; acts may name the leader, its zone and the rest, and a check wants so many proposals agreed on.

--- a/crates/lab/src/checks.rs
+++ b/crates/lab/src/checks.rs
@@ -15,6 +15,8 @@
 const DRAINED: Duration = Duration::from_millis(2_050 + 250);
 /// How long round the kill or the stall of a gateway its clients' connections may break.
 const ROUND: Duration = Duration::from_millis(1_000);
+/// How long after the end proposals that are under way are waited for.
+const PROPOSED: Duration = Duration::from_secs(30);
 /// As many of one kind are told one by one.
 const TOLD: usize = 10;
 
@@ -201,6 +203,12 @@
 /// order of indexes; and what was told as agreed is there.
 pub async fn of_plan(rig: &Rig, experiment: &Experiment) -> Vec<Broken> {
     let mut found = Vec::new();
+    let (told, wanted) = (rig.proposals.clone(), experiment.checks.proposals);
+    let agreed = rig.wait("proposals", PROPOSED, || told.borrow().len() >= wanted).await;
+    if agreed.is_err() {
+        let seen = format!("{} agreed, wanted {wanted}: {:?}", told.borrow().len(), told.borrow());
+        found.push(broken("proposals", seen));
+    }
     let (patience, running) = (experiment.checks.agree_within, rig.running().count());
     let patience = Duration::from_secs_f64(patience);
     let agreed =
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -192,6 +192,30 @@
     },
 }
 
+impl Act {
+    /// The parties that it names.
+    pub fn parties(&mut self) -> Vec<&mut Parties> {
+        match self {
+            Act::Kill(parties)
+            | Act::Terminate(parties)
+            | Act::Start(parties)
+            | Act::Roll(parties)
+            | Act::Stop(parties)
+            | Act::Resume(parties)
+            | Act::Reload(parties)
+            | Act::Drain(parties)
+            | Act::Undrain(parties)
+            | Act::Fail(parties)
+            | Act::Freeze(parties)
+            | Act::Cure(parties)
+            | Act::Slow { who: parties, .. } => vec![parties],
+            Act::Link { from, to, .. } => vec![from, to],
+            Act::Partition(groups) => groups.iter_mut().collect(),
+            Act::Forget | Act::Heal | Act::Propose { .. } => Vec::new(),
+        }
+    }
+}
+
 /// What must hold. What is given by number is a bound that must not be passed.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -206,11 +230,20 @@
     pub agree_within: f64,
     /// The share of requests inside their quotas that must be served.
     pub served: f64,
+    /// How many proposals to the plan must have been agreed on.
+    pub proposals: usize,
 }
 
 impl Default for Checks {
     fn default() -> Checks {
-        Checks { beyond_quota: 0.25, memory_mb: 192, descriptors: 1_024, agree_within: 60.0, served: 0.0 }
+        Checks {
+            beyond_quota: 0.25,
+            memory_mb: 192,
+            descriptors: 1_024,
+            agree_within: 60.0,
+            served: 0.0,
+            proposals: 0,
+        }
     }
 }
 
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -318,8 +318,39 @@
         Ok(self.backends.iter().filter(|backend| names.contains(&backend.id)).cloned().collect())
     }
 
+    /// The same with `leader` for who leads the plan now, `zone:leader` for its zone, and `rest` for all gateways and
+    /// backends that no other group of a partition names.
+    async fn resolved(&self, act: &Act) -> Result<Act, String> {
+        let mut act = act.clone();
+        let mut parties = act.parties();
+        if parties.iter().any(|parties| parties.iter().any(|party| party.contains("leader"))) {
+            let told = self.told("/fleet/plan").await;
+            let name = told.iter().find(|(_, plan)| plan["leads"] == true).map(|(name, _)| name);
+            let leads = self.gateways.iter().find(|gateway| Some(&gateway.name) == name);
+            let leads = leads.ok_or("nobody leads the plan")?;
+            for party in parties.iter_mut().flat_map(|parties| parties.iter_mut()) {
+                match party.as_str() {
+                    "leader" => *party = leads.name.clone(),
+                    "zone:leader" => *party = format!("zone:{}", leads.zone),
+                    _ => {}
+                }
+            }
+        }
+        let mut named = BTreeSet::new();
+        for group in parties.iter().filter(|group| !group.contains(&"rest".to_string())) {
+            named.extend(self.named(group)?);
+        }
+        let all = self.gateways.iter().map(|g| &g.name).chain(self.backends.iter().map(|b| &b.id));
+        let rest: Vec<String> = all.filter(|name| !named.contains(*name)).cloned().collect();
+        for group in parties.iter_mut().filter(|group| group.contains(&"rest".to_string())) {
+            **group = rest.clone();
+        }
+        Ok(act)
+    }
+
     /// Does something to the fleet.
     pub async fn act(&self, act: &Act) -> Result<(), String> {
+        let act = &self.resolved(act).await?;
         self.done.borrow_mut().push((self.elapsed(), format!("{act:?}")));
         let told = |error: std::io::Error| error.to_string();
         match act {
--- a/crates/lanespan/tests/plan.rs
+++ b/crates/lanespan/tests/plan.rs
@@ -438,3 +438,23 @@
         unbroken(&rig).await;
     });
 }
+
+/// `experiments/agreed-plan.toml`, four times as fast.
+#[test]
+fn the_agreed_plan_experiment_holds_in_its_short_form() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../experiments/agreed-plan.toml");
+    let mut experiment =
+        Experiment::read(&std::fs::read_to_string(path).expect("there")).expect("it makes sense");
+    experiment.seconds /= 4.0;
+    experiment.timeline.iter_mut().for_each(|step| step.at /= 4.0);
+    experiment.gateways.probe_ms /= 4;
+    experiment.gateways.hold_ms /= 4;
+    experiment.gateways.plan.iter_mut().for_each(|plan| (plan.tick_ms, plan.lease_ms) = (20, 500));
+    with(experiment, |rig| async move {
+        rig.run().await.expect("it plays");
+        let broken = rig.check().await;
+        let report = rig.report(broken.clone());
+        assert!(broken.is_empty(), "{}", report.text());
+        assert_eq!(rig.proposals.borrow().len(), 6, "{}", report.text());
+    });
+}
