--- a/crates/fleet/src/plan/document.rs
+++ b/crates/fleet/src/plan/document.rs
@@ -131,7 +131,7 @@
 }
 
 /// One item.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Item {
     /// What it holds.
     pub value: String,
@@ -153,7 +153,7 @@
 }
 
 /// The plan at one index.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Document {
     /// By which this plan is told from one that was begun anew; 0: none is known yet.
     pub plan: u64,
--- a/crates/fleet/src/plan/duty.rs
+++ b/crates/fleet/src/plan/duty.rs
@@ -27,7 +27,7 @@
 }
 
 /// The leader's side.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Leases {
     /// When this leader had applied what was agreed before its term.
     since: u64,
@@ -120,7 +120,7 @@
 }
 
 /// One duty at its holder.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Lease {
     token: Token,
     ttl: u64,
@@ -139,7 +139,7 @@
 }
 
 /// The holder's side.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Held {
     leases: BTreeMap<&'static str, Lease>,
     leaving: bool,
@@ -220,7 +220,7 @@
 }
 
 /// Whoever carries out what holders of duties ask for.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Receiver {
     highest: BTreeMap<String, Token>,
 }
--- /dev/null
+++ b/crates/gateway/benches/plan.rs
@@ -0,0 +1,92 @@
+//! How long a voter takes to be back with a log of so many entries: `cargo bench --bench plan -p lanespan-gateway`.
+//! A log is cut as it grows, so that from some point on it is a state and the latest entries.
+
+use lanespan_fleet::plan::document::{Document, Proposal, SCHEMA};
+use lanespan_fleet::plan::log::Durable;
+use lanespan_fleet::plan::voter::{Output, Voter};
+use lanespan_gateway::plan::store::Store;
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Instant;
+
+const ROUNDS: usize = 5;
+
+/// Carries out what a voter that is alone wants, with every write made durable.
+fn settle(
+    voter: &mut Voter,
+    store: &Store,
+    done: &mut tokio::sync::mpsc::UnboundedReceiver<Result<u64, String>>,
+) {
+    loop {
+        let outputs = voter.outputs();
+        if outputs.is_empty() {
+            return;
+        }
+        for output in outputs {
+            if let Output::Write(number, write) = output {
+                store.write(number, write).expect("taken");
+                assert_eq!(done.blocking_recv().expect("its word"), Ok(number));
+                voter.persisted(number);
+            }
+        }
+    }
+}
+
+fn fill(directory: &Path, entries: u64) {
+    let (mut store, _) = Store::open(directory, 1).expect("a new one");
+    let mut done = store.done().expect("once");
+    let durable = Durable::begun(&Document::begun(1, &BTreeMap::new()), vec![1]).expect("a form");
+    store.begin(1, &durable).expect("taken");
+    assert_eq!(done.blocking_recv().expect("its word"), Ok(0));
+    let mut voter = Voter::new(1, 1, &durable, 1).expect("a voter");
+    while !voter.leads() {
+        voter.tick();
+        settle(&mut voter, &store, &mut done);
+    }
+    for id in 1..=entries {
+        let proposal = Proposal {
+            id,
+            schema: SCHEMA,
+            proposer: "bench".into(),
+            reason: "a bench".into(),
+            section: "work".into(),
+            key: format!("b{}", id % 200),
+            value: Some("x".repeat(100)),
+            ..Proposal::default()
+        };
+        voter.propose(&proposal).expect("it leads");
+        // Some at a time, as a sync each would take the day.
+        if id % 50 == 0 || id == entries {
+            settle(&mut voter, &store, &mut done);
+        }
+    }
+}
+
+fn main() {
+    println!("entries  bytes on disk  ms until it is back: least median most");
+    for entries in [10, 1_000, 10_000, 100_000] {
+        let name = format!("lanespan-recovery-{}-{entries}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        fill(&directory, entries);
+        let mut times = Vec::new();
+        while times.len() < ROUNDS {
+            let from = Instant::now();
+            // The thread of the life before may hold it for a moment more.
+            let Ok((store, durable)) = Store::open(&directory, 2) else { continue };
+            let voter =
+                Voter::new(store.owner().id, store.owner().plan, &durable.expect("there"), 1).expect("sound");
+            times.push(from.elapsed().as_secs_f64() * 1e3);
+            assert!(voter.replica().is_some_and(|replica| replica.document().index + 50 >= entries));
+        }
+        times.sort_by(f64::total_cmp);
+        let bytes = std::fs::metadata(directory.join("plan.redb")).expect("there").len();
+        println!(
+            "{entries:>7}  {bytes:>13}  {:.1} {:.1} {:.1}",
+            times[0],
+            times[ROUNDS / 2],
+            times[ROUNDS - 1]
+        );
+        // What a bench leaves behind harms nobody.
+        let _ = std::fs::remove_dir_all(directory);
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -51,6 +51,19 @@
         #[arg(long)]
         real: Option<PathBuf>,
     },
+    /// Measure how soon the fleet plan is agreed on, acted on and handed over
+    #[command(after_help = "Example:\n  lanespan-lab plan --members 300,1000 --seeds 3")]
+    Plan {
+        /// How many gateways, a list
+        #[arg(long, value_delimiter = ',', default_value = "300")]
+        members: Vec<usize>,
+        /// How many seeds, for those in simulation
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+        /// With real processes of this program, not in simulation
+        #[arg(long)]
+        real: Option<PathBuf>,
+    },
     /// Measure what the rig itself bears, beside a plain echo
     #[command(after_help = "Example:\n  lanespan-lab ceiling")]
     Ceiling {
@@ -79,6 +92,7 @@
         Command::Presence { members, seeds, slow, real } => {
             presence(&members, seeds, slow, real).map(|()| true)
         }
+        Command::Plan { members, seeds, real } => plan(&members, seeds, real).map(|()| true),
         Command::Ceiling { lanespan, seed } => ceiling(lanespan, seed).map(|()| true),
         Command::Run { config } => stand_in(&config).map(|()| true),
     };
@@ -108,6 +122,22 @@
     Ok(())
 }
 
+fn plan(members: &[usize], seeds: u64, real: Option<PathBuf>) -> Result<(), String> {
+    if let Some(program) = real {
+        println!("{}", measure::PLAN_REAL);
+        for count in members {
+            let out = temporary().join(count.to_string());
+            println!("{}", play(measure::plan_real(*count, &program, &out))?);
+        }
+        return Ok(());
+    }
+    println!("{}", measure::PLAN_SIMULATED);
+    for (count, seed) in members.iter().flat_map(|count| (1..=seeds).map(move |seed| (*count, seed))) {
+        println!("{}", measure::plan_simulated(count, seed));
+    }
+    Ok(())
+}
+
 /// The gateway program.
 fn gateway(named: Option<PathBuf>) -> Result<PathBuf, String> {
     let beside = || std::env::current_exe().ok().map(|own| own.with_file_name("lanespan"));
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -7,9 +7,11 @@
 use crate::rig::Rig;
 use crate::stand_in::Door;
 use hyper::StatusCode;
+use lanespan_fleet::plan::replica::Mark;
 use lanespan_fleet::presence::{Presence, Settings};
 use lanespan_fleet::sim::{Net, SECOND};
 use lanespan_fleet::view::Standing;
+use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::path::Path;
 use std::time::Duration;
@@ -123,6 +125,113 @@
     Ok(row)
 }
 
+/// The head of the table that `plan_simulated` fills.
+pub const PLAN_SIMULATED: &str =
+    "members  seed  to half, s  to nine tenths, s  to all, s  fetches of one at most";
+
+/// One row: a change of the plan at three voters, until all that follow have fetched it from whom they heard has it.
+pub fn plan_simulated(members: usize, seed: u64) -> String {
+    const VOTERS: usize = 3;
+    const STEP: u64 = SECOND / 100;
+    let mut net = Net::settled(members, settings(), seed);
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let (before, after) = (Mark { plan: 1, index: 1, digest: 1 }, Mark { plan: 1, index: 2, digest: 2 });
+    let act_on = |net: &mut Net, i: usize, mark: Mark| {
+        let now = net.now();
+        net.members[i].presence.iter_mut().for_each(|presence| presence.act_on(now, mark));
+    };
+    (0..members).for_each(|i| act_on(&mut net, i, before));
+    net.run(30 * SECOND);
+    (0..VOTERS).for_each(|i| act_on(&mut net, i, after));
+    let (from, mut has, mut served) = (net.now(), vec![false; members], HashMap::<String, usize>::new());
+    has[..VOTERS].fill(true);
+    let mut times = Vec::new();
+    // A fetch takes a step; whoever hears of more asks one of those it heard have it.
+    while times.len() < members - VOTERS && net.now() < from + 300 * SECOND {
+        net.run(STEP);
+        let lacking: Vec<usize> = (0..members).filter(|i| !has[*i]).collect();
+        for i in lacking {
+            let marks = net.members[i].presence.as_ref().map(|p| p.marks()).unwrap_or_default();
+            let ahead: Vec<_> = marks.iter().filter(|(_, mark, _)| mark.index == after.index).collect();
+            if let Some((node, _, _)) = ahead.get(rng.usize(..ahead.len().max(1))) {
+                *served.entry(node.name.clone()).or_default() += 1;
+                has[i] = true;
+                act_on(&mut net, i, after);
+                times.push((net.now() - from) as f64 / SECOND as f64);
+            }
+        }
+    }
+    let at = |part: f64| times.get(((times.len() as f64 * part) as usize).min(times.len() - 1)).copied();
+    let [half, most, all] =
+        [0.5, 0.9, 1.0].map(|part| at(part).map_or("-".to_string(), |s| format!("{s:.2}")));
+    let most_served = served.values().max().copied().unwrap_or(0);
+    format!("{members:>7}  {seed:>4}  {half:>10}  {most:>17}  {all:>9}  {most_served:>22}")
+}
+
+/// The head of the table that `plan_real` fills.
+pub const PLAN_REAL: &str =
+    "members  agreed, ms, 50  most  acted on by all, ms, 50  most  hand-over, s: SIGTERM  kill  stall  \
+                             follower CPU ms/s  UDP bytes/s";
+
+/// A fleet of real processes with the default ticks and leases: proposals, hand-overs, and what following costs.
+pub async fn plan_real(gateways: usize, program: &Path, directory: &Path) -> Result<String, String> {
+    const PROPOSALS: usize = 20;
+    let text = format!(
+        "shows = \"a measurement\"\nseconds = 1.0\nregions = {{ north = [\"a\", \"b\"], south = [\"c\"] }}\n\
+         backends = {{ count = 1 }}\n[gateways]\ncount = {gateways}\nprobe_ms = 1000\n\
+         plan = {{ voters = 3, tick_ms = 100, lease_ms = 5000, trust_s = 30, ramp_s = 30 }}\n"
+    );
+    let rig = Rig::start(&Experiment::read(&text)?, program, directory).await?;
+    let here = |gateway: &Gateway, part: &str| gateway.lines_with(part) > 0;
+    rig.wait("duties", PATIENCE, || rig.gateways.iter().all(|g| here(g, "plan: changed index=2 "))).await?;
+    let (mut agreed, mut acted) = (Vec::new(), Vec::new());
+    for count in 0..PROPOSALS {
+        let from = Instant::now();
+        let (section, key, value) = ("work".to_string(), "x".to_string(), count.to_string());
+        rig.act(&Act::Propose { section, key, value }).await?;
+        rig.wait("agreed", PATIENCE, || rig.proposals.borrow().len() > count).await?;
+        agreed.push(from.elapsed().as_secs_f64() * 1e3);
+        let line = format!("plan: changed index={} ", rig.proposals.borrow()[count].0);
+        rig.wait("all", PATIENCE, || rig.gateways.iter().all(|g| here(g, &line))).await?;
+        acted.push(from.elapsed().as_secs_f64() * 1e3);
+    }
+    let follower = rig.gateways.last().ok_or("no gateway")?;
+    let (cpu, bytes) = (follower.cpu(), sent(follower).await?);
+    let from = Instant::now();
+    sleep(Duration::from_secs(20)).await;
+    let span = from.elapsed().as_secs_f64();
+    let cpu = follower.cpu().zip(cpu).map_or(f64::NAN, |(after, before)| (after - before) / span * 1e3);
+    let bytes = (sent(follower).await? - bytes) / span;
+    let mut row = format!("{gateways:>7}  ");
+    for times in [&mut agreed, &mut acted] {
+        times.sort_by(f64::total_cmp);
+        // Writing to a String can't fail.
+        let _ = write!(row, "{:>6.0}  {:>6.0}  ", times[PROPOSALS / 2], times[PROPOSALS - 1]);
+    }
+    for end in [Act::Terminate as fn(_) -> _, Act::Kill, Act::Stop] {
+        let taken = |gateway: &Gateway| gateway.lines_with("plan: duty taken duty=\"work\"");
+        let taken = || rig.gateways.iter().map(|gateway| taken(gateway)).sum::<usize>();
+        let told = rig.told("/fleet/duties").await;
+        let holds = told.iter().find(|(_, told)| told["duties"][1]["held_here"] == true);
+        let holder = holds.map(|(name, _)| name.clone()).ok_or("nobody holds the duty")?;
+        let (before, from) = (taken(), Instant::now());
+        rig.act(&end(vec![holder])).await?;
+        rig.wait("another holder", PATIENCE, || taken() > before).await?;
+        let _ = write!(row, "{:>6.2}  ", from.elapsed().as_secs_f64());
+    }
+    let _ = write!(row, "{cpu:>6.2}  {bytes:>6.0}");
+    rig.end().await;
+    Ok(row)
+}
+
+/// The bytes of datagrams that a gateway sent since its start.
+async fn sent(gateway: &Gateway) -> Result<f64, String> {
+    let (_, told) = crate::http::get(gateway.door.get(), "/metrics").await?;
+    let told = String::from_utf8_lossy(&told).into_owned();
+    let line = told.lines().find_map(|line| line.strip_prefix("lanespan_fleet_bytes_sent_total "));
+    line.and_then(|figure| figure.trim().parse().ok()).ok_or("no figure".to_string())
+}
+
 /// The head of the table that `ceiling` fills.
 pub const CEILING: &str =
     "asked/s  of          due to sent, ms, 99 of 100  due to answer, ms, 50  99  served  valid";
--- a/crates/lanespan/benches/process/mod.rs
+++ b/crates/lanespan/benches/process/mod.rs
@@ -1,7 +1,8 @@
 //! What a bench reads of a gateway's process, and how two are compared.
 #![allow(dead_code)]
 
-use super::world::{request, Node};
+use super::world::{config, program, request, Discovery, Node, Stub};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 
 /// The least, the median and the most.
 pub type Spread = (f64, f64, f64);
@@ -69,3 +70,33 @@
     }
     (seen.map(spread), spread(ratios))
 }
+
+/// A gateway before one backend; with a section it is one of the fleet.
+pub fn gateway(discovery: &Discovery, counter: &Stub, place: usize, section: Option<String>) -> Node {
+    let plain = config(discovery.stub.address, counter.address).replace("\"tick\":4000", "\"tick\":1000");
+    let named = plain.replace("\"name\":\"n0\"", &format!("\"name\":\"n{place}\""));
+    let config = match section {
+        Some(section) => named.replacen('{', &format!("{{\"fleet\":{section},"), 1),
+        None => named,
+    };
+    let mut node = Node::spawn(program(&config));
+    if config.contains("fleet") {
+        let line = node.wait_for_line("listening");
+        node.address = line.split("address=").nth(1).and_then(|a| a.trim().parse().ok()).expect("an address");
+    }
+    node.wait_ready();
+    node
+}
+
+/// Ports that are free now, for UDP and TCP; another process may take one in between, and the bench ends.
+pub fn free_ports(count: usize) -> Vec<SocketAddr> {
+    let taken: Vec<(UdpSocket, TcpListener)> = std::iter::repeat_with(|| {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        let listener = TcpListener::bind(socket.local_addr().expect("bound")).ok()?;
+        Some((socket, listener))
+    })
+    .flatten()
+    .take(count)
+    .collect();
+    taken.iter().map(|(socket, _)| socket.local_addr().expect("bound")).collect()
+}
--- a/crates/lanespan/tests/plan.rs
+++ b/crates/lanespan/tests/plan.rs
@@ -8,6 +8,7 @@
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::rc::Rc;
@@ -319,6 +320,18 @@
 fn partitions_one_way_cuts_and_late_links_leave_one_history_and_the_majority_goes_on() {
     with(fleet(6, 5), |rig| async move {
         let cut = Fault { cut: true, ..Fault::default() };
+        // 2/2/1: nobody has a majority, and nothing is agreed on until it is back.
+        let zones = ["zone:a", "zone:b", "zone:c"].map(|zone| names(&[zone]));
+        act(&rig, Act::Partition(zones.to_vec())).await;
+        for gateway in &rig.gateways {
+            gateway.line("no news of a leader with a majority", PATIENCE).await.expect("told plainly");
+        }
+        for gateway in &rig.gateways[..5] {
+            let told =
+                ask(gateway, &["plan", "propose", "versions", "floor", "alone", "--reason", "a test"]).await;
+            assert!(matches!(told.status.code(), Some(4 | 5)), "{}", text(&told));
+        }
+        act(&rig, Act::Heal).await;
         for round in 0..4 {
             let there = leader(&rig).await;
             let zone = format!("zone:{}", there.zone);
@@ -419,6 +432,66 @@
     });
 }
 
+#[test]
+fn an_older_copy_of_a_store_and_a_full_disk_end_a_voter_and_nothing_else() {
+    with(fleet(6, 3), |rig| async move {
+        let first = agree(&rig, "1").await;
+        all_at(&rig, first).await;
+        let there = leader(&rig).await;
+        let victim = rig.gateways[..3].iter().find(|g| g.name != there.name).expect("another").clone();
+        let store = rig.directory.join(format!("{}-plan", victim.name)).join("plan.redb");
+        act(&rig, Act::Kill(vec![victim.name.clone()])).await;
+        let older = std::fs::read(&store).expect("there");
+        act(&rig, Act::Start(vec![victim.name.clone()])).await;
+        // It acknowledges more than the copy holds, to a leader that runs on.
+        for value in ["2", "3"] {
+            let index = agree(&rig, value).await;
+            all_at(&rig, index).await;
+        }
+        act(&rig, Act::Kill(vec![victim.name.clone()])).await;
+        std::fs::write(&store, older).expect("written");
+        act(&rig, Act::Start(vec![victim.name.clone()])).await;
+        victim.line("an older copy?", PATIENCE).await.expect("told plainly");
+        let index = agree(&rig, "4").await;
+        all_at(&rig, index).await;
+        // A second voter's disk is full from now on: its files may grow no further.
+        let second = rig.gateways[..3].iter().find(|g| g.name != victim.name && g.name != there.name);
+        let second = second.expect("the third").clone();
+        // The first comes back as a new voter, so that a majority is left.
+        act(&rig, Act::Kill(vec![victim.name.clone()])).await;
+        std::fs::remove_file(&store).expect("there");
+        act(&rig, Act::Start(vec![victim.name.clone()])).await;
+        let (name, address) = (victim.name.as_str(), plan_address(&victim).to_string());
+        let removed = ask_leader(&rig, &["voters", "remove", name, "--reason", "its disk"]).await;
+        assert!(removed.status.success(), "{}", text(&removed));
+        let add = ["voters", "add", name, &address, "--zone", &victim.zone, "--reason", "a new disk"];
+        let added = ask_leader(&rig, &add).await;
+        assert!(added.status.success(), "{}", text(&added));
+        let votes = |told: &BTreeMap<String, Value>| told[name]["votes"] == true;
+        rig.wait_for("it votes", "/fleet/plan", PATIENCE, votes).await.expect("it votes");
+        act(&rig, Act::Kill(vec![second.name.clone()])).await;
+        let size = std::fs::metadata(rig.directory.join(format!("{}-plan", second.name)).join("plan.redb"));
+        let blocks = size.expect("there").len() / 512;
+        let full = rig.directory.join("full.sh");
+        let program = env!("CARGO_BIN_EXE_lanespan");
+        let script = format!("#!/bin/sh\ntrap '' XFSZ\nulimit -f {blocks}\nexec {program} \"$@\"\n");
+        std::fs::write(&full, script).expect("written");
+        std::fs::set_permissions(&full, std::fs::Permissions::from_mode(0o700)).expect("its own");
+        *second.program.borrow_mut() = full;
+        act(&rig, Act::Start(vec![second.name.clone()])).await;
+        let long = "x".repeat(4_000);
+        while second.lines_with("the store failed") == 0 {
+            agree(&rig, &long).await;
+        }
+        let told = second.ask("/fleet/plan").await.expect("it answers");
+        assert_eq!(told["votes"], false, "{told}");
+        let last = agree(&rig, "5").await;
+        all_at(&rig, last).await;
+        rig.run().await.expect("it plays");
+        unbroken(&rig).await;
+    });
+}
+
 #[test]
 fn a_roll_of_all_gateways_under_load_keeps_one_history_and_loses_no_answer() {
     let mut experiment = fleet(6, 3);
