Plan: a forged digest and a second plan are told, a gone holder's duty is held again in time

The alarm for gateways that differ, the guard against a second plan and the bound on a vacant duty had no test. A datagram in another's name with another digest, and a file that names itself as the only voter, are told; a duty is granted again at 1.05 leases and not before. Marks of presence are a type of their own.

--- a/crates/fleet/src/presence.rs
+++ b/crates/fleet/src/presence.rs
@@ -77,6 +77,17 @@
     ClaimedTwice(Node, Node),
 }
 
+/// A member and the plan that it last told to act on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Marked {
+    /// The member.
+    pub node: Node,
+    /// The plan.
+    pub mark: Mark,
+    /// It says that it is about to leave.
+    pub leaves: bool,
+}
+
 /// What was counted since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -375,12 +386,16 @@
         now.saturating_sub(self.beat.1)
     }
 
-    /// The others that are present, with the plans that they last told to act on, and whether they are leaving.
-    pub fn marks(&self) -> Vec<(Node, Mark, bool)> {
+    /// The others that are present, with the plans that they last told to act on.
+    pub fn marks(&self) -> Vec<Marked> {
         let table = self.table.borrow();
         let present = self.known.values().filter(|known| known.standing.is_present());
         let leaves = |node: &Node| table.of(node).is_some_and(|facts| facts.told.contains_key(LEAVING));
-        present.map(|known| (known.node.clone(), known.mark, leaves(&known.node))).collect()
+        let marked = |known: &Known| {
+            let leaves = leaves(&known.node);
+            Marked { node: known.node.clone(), mark: known.mark, leaves }
+        };
+        present.map(marked).collect()
     }
 
     /// What the present life of a member told of itself under this name.
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -434,6 +434,28 @@
     assert!(handed_over > 600, "{handed_over}");
 }
 
+#[test]
+fn a_duty_whose_holder_is_gone_is_granted_again_when_its_lease_is_over_and_not_before() {
+    let members: Vec<Candidate> = (0..3).map(|i| (format!("g{i}"), 1)).collect();
+    for (new_leader, least) in [(None, 1.05), (Some(SECOND / 2), 1.55)] {
+        let (mut document, mut leases, mut place) = (Document::begun(1, &BTreeMap::new()), Leases::new(0), 1);
+        let mut granted = Vec::new();
+        for now in (0..3 * SECOND).step_by(10_000) {
+            if new_leader == Some(now) {
+                leases = Leases::new(now);
+            }
+            for proposal in leases.due(&document, &members, SECOND, now, || now + 1) {
+                place += 1;
+                let one = Proposal { id: place, ..proposal.clone() };
+                assert!(matches!(document.apply(at(place), &text(&one)).0, Verdict::Agreed(_)));
+                leases.granted(&proposal.key, at(place), now);
+                granted.extend((proposal.key == ALL[0]).then_some(now as f64 / SECOND as f64));
+            }
+        }
+        assert!(granted[1] >= least && granted[1] <= least + 0.011, "{new_leader:?}: {granted:?}");
+    }
+}
+
 #[test]
 fn a_duty_is_given_back_by_its_holder_only_and_moves_only_with_it() {
     let mut document = Document::begun(1, &BTreeMap::new());
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,7 +6,7 @@
 use crate::driver::Clock;
 use lanespan_fleet::node::{Node, FILE, LEAVING, LIST, NUMBER, PLAN_AT, READY, YES};
 use lanespan_fleet::plan::replica::Mark;
-use lanespan_fleet::presence::{Counts, Output, Presence, Settings};
+use lanespan_fleet::presence::{Counts, Marked, Output, Presence, Settings};
 use lanespan_fleet::share::Shares;
 use lanespan_fleet::view::{Change, Standing, View};
 use std::cell::{Cell, RefCell};
@@ -154,8 +154,8 @@
         self.presence.borrow_mut().act_on(self.now(), mark);
     }
 
-    /// The others that are present, the plans that they act on, and whether they are leaving.
-    pub fn marks(&self) -> Vec<(Node, Mark, bool)> {
+    /// The others that are present, and the plans that they act on.
+    pub fn marks(&self) -> Vec<Marked> {
         self.presence.borrow().marks()
     }
 
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -10,15 +10,17 @@
 use crate::fleet::Fleet;
 use bytes::Bytes;
 use hyper::Method;
+use lanespan_fleet::node::PLAN_AT;
 use lanespan_fleet::plan::document::{
-    Document, Entry, Proposal, Token, Verdict, DUTIES, SCHEMA, SECTIONS, VOTERS,
+    Document, Entry, Item, Proposal, Token, Verdict, DUTIES, SCHEMA, SECTIONS, VOTERS,
 };
-use lanespan_fleet::plan::duty::{Candidate, Held, Leases, Turn};
+use lanespan_fleet::plan::duty::{self, Candidate, Held, Leases, Turn};
 use lanespan_fleet::plan::log::Durable;
 use lanespan_fleet::plan::replica::{News, Replica, Unusable};
 use lanespan_fleet::plan::trust::Trust;
 use lanespan_fleet::plan::voter::{Declined, Output, Voter, VoterChange, ELECTION_TICKS};
 use lanespan_fleet::plan::wire::Letter;
+use lanespan_fleet::presence::Marked;
 use peers::Link;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
@@ -439,9 +441,9 @@
         }
         if state.voter.as_ref().is_some_and(Voter::leads) {
             let leases = state.leases.get_or_insert_with(|| Leases::new(now));
-            let others = marks.iter().filter(|(_, theirs, leaves)| theirs.plan == mark.plan && !leaves);
+            let others = marks.iter().filter(|other| other.mark.plan == mark.plan && !other.leaves);
             let mut candidates: Vec<Candidate> =
-                others.map(|(n, _, _)| (n.name.clone(), n.incarnation)).collect();
+                others.map(|other| (other.node.name.clone(), other.node.incarnation)).collect();
             candidates.extend((!stopping).then_some(me));
             let ttl = self.set.lease.as_micros() as u64;
             let due = leases.due(state.replica.document(), &candidates, ttl, now, || self.id());
@@ -513,10 +515,10 @@
     }
 
     /// An alarm for each gateway that says something else of an index.
-    fn compare(&self, marks: &[(lanespan_fleet::node::Node, lanespan_fleet::plan::replica::Mark, bool)]) {
+    fn compare(&self, marks: &[Marked]) {
         let state = &mut *self.state.borrow_mut();
         let own = state.replica.mark();
-        for (node, mark, _) in marks.iter().filter(|(_, mark, _)| mark.plan != 0 && own.plan != 0) {
+        for Marked { node, mark, .. } in marks.iter().filter(|m| m.mark.plan != 0 && own.plan != 0) {
             let other_plan = mark.plan != own.plan;
             let here = state.replica.digest_at(mark.index);
             if !other_plan && here.is_none_or(|here| here == mark.digest) {
@@ -539,22 +541,15 @@
 
     /// One that has more of the plan, drawn from all that do; the first plan that is followed is that of a voter whom
     /// the configuration names.
-    fn ahead(
-        &self,
-        marks: &[(lanespan_fleet::node::Node, lanespan_fleet::plan::replica::Mark, bool)],
-        state: &State,
-    ) -> Option<SocketAddr> {
+    fn ahead(&self, marks: &[Marked], state: &State) -> Option<SocketAddr> {
         let own = state.replica.mark();
-        let has_more =
-            |(node, mark, _): &&(lanespan_fleet::node::Node, lanespan_fleet::plan::replica::Mark, bool)| {
-                match own.plan {
-                    0 => mark.plan != 0 && self.set.voters.contains_key(&node.name),
-                    plan => mark.plan == plan && mark.index > own.index,
-                }
-            };
-        let ahead: Vec<_> = marks.iter().filter(has_more).collect();
-        let (node, _, _) = ahead.get(self.rng.borrow_mut().usize(..ahead.len().max(1)))?;
-        let told = self.fleet.fact(node, lanespan_fleet::node::PLAN_AT)?.parse().ok()?;
+        let has_more = |marked: &&Marked| match own.plan {
+            0 => marked.mark.plan != 0 && self.set.voters.contains_key(&marked.node.name),
+            plan => marked.mark.plan == plan && marked.mark.index > own.index,
+        };
+        let ahead: Vec<&Marked> = marks.iter().filter(has_more).collect();
+        let chosen = ahead.get(self.rng.borrow_mut().usize(..ahead.len().max(1)))?;
+        let told = self.fleet.fact(&chosen.node, PLAN_AT)?.parse().ok()?;
         Some(self.route(told))
     }
 
@@ -656,7 +651,7 @@
                     return apart(&mut state.apart, problem.to_string());
                 }
             },
-            (None, Some(_)) if self.fleet.marks().iter().any(|(_, mark, _)| mark.plan != 0) => {
+            (None, Some(_)) if self.fleet.marks().iter().any(|other| other.mark.plan != 0) => {
                 let problem =
                     "all voters' stores are empty, and other gateways act on a plan: bring a store back";
                 return apart(&mut state.apart, problem.to_string());
@@ -875,7 +870,7 @@
             .sections
             .iter()
             .map(|(section, items)| {
-                let item = |item: &lanespan_fleet::plan::document::Item| {
+                let item = |item: &Item| {
                     json!({ "value": item.value, "index": item.index, "token": item.token.to_string() })
                 };
                 (section, items.iter().map(|(key, held)| (key, item(held))).collect())
@@ -910,7 +905,7 @@
     /// Who holds which duty, and whether this gateway may act by it now.
     pub fn duties(&self) -> Value {
         let (state, now) = (self.state.borrow(), self.now());
-        let duties = lanespan_fleet::plan::duty::ALL.into_iter().map(|duty| {
+        let duties = duty::ALL.into_iter().map(|duty| {
             let held = state.replica.document().grant(duty);
             let token = state.held.token(duty, now);
             json!({
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -1,5 +1,6 @@
 //! What presence costs and how soon it knows, over virtual networks of many sizes and over real processes.
 
+use crate::checks::one_plan;
 use crate::experiment::{Act, Experiment};
 use crate::gateway::Gateway;
 use crate::http::answer;
@@ -11,7 +12,8 @@
 use lanespan_fleet::presence::{Presence, Settings};
 use lanespan_fleet::sim::{Net, SECOND};
 use lanespan_fleet::view::Standing;
-use std::collections::HashMap;
+use serde_json::Value;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
 use std::path::Path;
 use std::time::Duration;
@@ -152,9 +154,9 @@
         let lacking: Vec<usize> = (0..members).filter(|i| !has[*i]).collect();
         for i in lacking {
             let marks = net.members[i].presence.as_ref().map(|p| p.marks()).unwrap_or_default();
-            let ahead: Vec<_> = marks.iter().filter(|(_, mark, _)| mark.index == after.index).collect();
-            if let Some((node, _, _)) = ahead.get(rng.usize(..ahead.len().max(1))) {
-                *served.entry(node.name.clone()).or_default() += 1;
+            let ahead: Vec<_> = marks.iter().filter(|other| other.mark.index == after.index).collect();
+            if let Some(other) = ahead.get(rng.usize(..ahead.len().max(1))) {
+                *served.entry(other.node.name.clone()).or_default() += 1;
                 has[i] = true;
                 act_on(&mut net, i, after);
                 times.push((net.now() - from) as f64 / SECOND as f64);
@@ -183,7 +185,10 @@
     );
     let rig = Rig::start(&Experiment::read(&text)?, program, directory).await?;
     let here = |gateway: &Gateway, part: &str| gateway.lines_with(part) > 0;
-    rig.wait("duties", PATIENCE, || rig.gateways.iter().all(|g| here(g, "plan: changed index=2 "))).await?;
+    let begun = |told: &BTreeMap<String, Value>| {
+        one_plan(told) && told.values().all(|plan| plan["index"].as_u64() >= Some(2))
+    };
+    rig.wait_for("duties", "/fleet/plan", PATIENCE, begun).await?;
     let (mut agreed, mut acted) = (Vec::new(), Vec::new());
     for count in 0..PROPOSALS {
         let from = Instant::now();
@@ -208,16 +213,25 @@
         // Writing to a String can't fail.
         let _ = write!(row, "{:>6.0}  {:>6.0}  ", times[PROPOSALS / 2], times[PROPOSALS - 1]);
     }
-    for end in [Act::Terminate as fn(_) -> _, Act::Kill, Act::Stop] {
+    let ends = [
+        (Act::Terminate as fn(_) -> _, Act::Start as fn(_) -> _),
+        (Act::Kill, Act::Start),
+        (Act::Stop, Act::Resume),
+    ];
+    for (end, back) in ends {
         let taken = |gateway: &Gateway| gateway.lines_with("plan: duty taken duty=\"work\"");
         let taken = || rig.gateways.iter().map(|gateway| taken(gateway)).sum::<usize>();
         let told = rig.told("/fleet/duties").await;
         let holds = told.iter().find(|(_, told)| told["duties"][1]["held_here"] == true);
         let holder = holds.map(|(name, _)| name.clone()).ok_or("nobody holds the duty")?;
         let (before, from) = (taken(), Instant::now());
-        rig.act(&end(vec![holder])).await?;
+        rig.act(&end(vec![holder.clone()])).await?;
         rig.wait("another holder", PATIENCE, || taken() > before).await?;
         let _ = write!(row, "{:>6.2}  ", from.elapsed().as_secs_f64());
+        rig.act(&back(vec![holder])).await?;
+        let running = rig.running().count();
+        rig.wait_for("one plan", "/fleet/plan", PATIENCE, |told| told.len() == running && one_plan(told))
+            .await?;
     }
     let _ = write!(row, "{cpu:>6.2}  {bytes:>6.0}");
     rig.end().await;
--- a/crates/lanespan/tests/plan.rs
+++ b/crates/lanespan/tests/plan.rs
@@ -1,5 +1,8 @@
 //! The fleet plan among real gateways with faults between them, on the rig of `lanespan-lab`.
 
+use lanespan_fleet::node::Node;
+use lanespan_fleet::plan::replica::Mark;
+use lanespan_fleet::wire::{self, Envelope, Kind};
 use lanespan_lab::checks::one_plan;
 use lanespan_lab::experiment::{Act, Experiment};
 use lanespan_lab::gateway::Gateway;
@@ -205,6 +208,45 @@
     });
 }
 
+#[test]
+fn one_that_tells_another_digest_at_an_index_is_named_and_one_of_another_plan_does_not_begin_it() {
+    with(fleet(4, 3), |rig| async move {
+        let before = agree(&rig, "1").await;
+        all_at(&rig, before).await;
+        let view = rig.gateway(0).ask("/fleet/members").await.expect("it answers");
+        let row =
+            view["members"].as_array().expect("rows").iter().find(|row| row["name"] == "g1").expect("there");
+        let word = |name: &str| row[name].as_str().expect("text").to_string();
+        let node = Node {
+            name: word("name"),
+            address: word("address").parse().expect("an address"),
+            incarnation: row["incarnation"].as_u64().expect("a number"),
+            zone: word("zone"),
+            build: word("build"),
+        };
+        // As g1 would say it if an entry had come out otherwise there.
+        let shown = rig.gateway(0).ask("/fleet/plan").await.expect("it answers");
+        let plan = u64::from_str_radix(shown["plan"].as_str().expect("text"), 16).expect("a number");
+        let mark = Mark { plan, index: index(&shown), digest: 1 };
+        let from = wire::key(&node);
+        let told =
+            Envelope { kind: Kind::Swim, cluster: wire::cluster("lab"), from, digest: 0, mark, beat: 0 };
+        let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+        while rig.gateway(0).lines_with("plan: two gateways differ here=\"g0\" there=\"g1\"") == 0 {
+            socket.send_to(&told.around(b"x"), rig.gateway(0).fleet.get()).expect("sent");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        // A file that names itself as the only voter begins no second plan beside the first.
+        act(&rig, Act::Kill(names(&["g3"]))).await;
+        let other = named(&rig, "g3");
+        let voters = json!({ "g3": { "zone": other.zone, "address": plan_address(&other) } });
+        other.config.borrow_mut()["fleet"]["plan"]["voters"] = voters;
+        act(&rig, Act::Start(names(&["g3"]))).await;
+        other.line("other gateways act on a plan", PATIENCE).await.expect("told plainly");
+        assert_eq!(other.ask("/fleet/plan").await.expect("it answers")["votes"], false);
+    });
+}
+
 #[test]
 fn a_killed_leader_is_followed_by_another_and_all_voters_killed_come_back_with_the_plan() {
     with(fleet(6, 3), |rig| async move {
