Plan: leases belong to a term, bodies are bounded, and the rig sees an end it was not there for

A leader that lost the lead and got it back between two looks would have kept lease times of its old term, while another leader may have renewed since: leases carry their term now. Letters of 16 MiB on 128 connections could have filled memory: four long bodies are read at once, each within 2 s. One test run in several hung: Gateway::line in the rig subscribed to a process's end after it had ended (g1 had said 'magic number mismatch' and gone); it looks at the process first.

--- a/crates/fleet/src/plan/duty.rs
+++ b/crates/fleet/src/plan/duty.rs
@@ -29,6 +29,8 @@
 /// The leader's side.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Leases {
+    /// The term in which it leads.
+    term: u64,
     /// When this leader had applied what was agreed before its term.
     since: u64,
     /// The last renewal of each duty, and of which token.
@@ -38,9 +40,15 @@
 }
 
 impl Leases {
-    /// Those of one that leads from now on.
-    pub fn new(now: u64) -> Leases {
-        Leases { since: now, ..Leases::default() }
+    /// Those of one that leads this term from now on.
+    pub fn new(term: u64, now: u64) -> Leases {
+        Leases { term, since: now, ..Leases::default() }
+    }
+
+    /// The term that they count for. Whoever leads again in a later one begins anew: another may have renewed in
+    /// between.
+    pub fn term(&self) -> u64 {
+        self.term
     }
 
     /// When a lease is over by the leader's clock.
--- a/crates/fleet/tests/lease_model.rs
+++ b/crates/fleet/tests/lease_model.rs
@@ -73,7 +73,7 @@
             step: 0,
             document,
             log: 1,
-            leases: Leases::new(self.clock(2, 0)),
+            leases: Leases::new(1, self.clock(2, 0)),
             leaders: 0,
             held: Default::default(),
             letters: Vec::new(),
@@ -106,7 +106,7 @@
             Move::TimePasses => state.step += 1,
             Move::AnotherLeads => {
                 state.leaders += 1;
-                state.leases = Leases::new(clock(2));
+                state.leases = Leases::new(1, clock(2));
             }
             Move::LeaderLooks => {
                 // Whoever does not hold it is offered first, so that it moves.
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -365,7 +365,7 @@
         let speed: Vec<f64> = (0..4).map(|_| 0.99 + 0.02 * rng.f64()).collect();
         let clock = |who: usize, now: u64| (now as f64 * speed[who]) as u64 + 1_000_000;
         let mut document = Document::begun(1, &BTreeMap::new());
-        let (mut leases, mut held) = (Leases::new(clock(3, 0)), [(); 3].map(|()| Held::default()));
+        let (mut leases, mut held) = (Leases::new(1, clock(3, 0)), [(); 3].map(|()| Held::default()));
         let (mut receiver, mut place, mut last) = (Receiver::default(), 1, BTreeMap::new());
         // Renewals on their way: when they arrive, whose, of what, and when they were sent by the sender's clock.
         let mut on_the_way: Vec<(u64, usize, &'static str, Token, u64)> = Vec::new();
@@ -375,7 +375,7 @@
         for now in (0..20_000_000u64).step_by(50_000) {
             if rng.u16(..200) == 0 {
                 // A new leader: it knows no renewals.
-                leases = Leases::new(clock(3, now));
+                leases = Leases::new(1, clock(3, now));
             }
             for proposal in leases.due(&document, &members, 1_000_000, clock(3, now), || rng.u64(1..)) {
                 place += 1;
@@ -438,11 +438,12 @@
 fn a_duty_whose_holder_is_gone_is_granted_again_when_its_lease_is_over_and_not_before() {
     let members: Vec<Candidate> = (0..3).map(|i| (format!("g{i}"), 1)).collect();
     for (new_leader, least) in [(None, 1.05), (Some(SECOND / 2), 1.55)] {
-        let (mut document, mut leases, mut place) = (Document::begun(1, &BTreeMap::new()), Leases::new(0), 1);
+        let (mut document, mut leases, mut place) =
+            (Document::begun(1, &BTreeMap::new()), Leases::new(1, 0), 1);
         let mut granted = Vec::new();
         for now in (0..3 * SECOND).step_by(10_000) {
             if new_leader == Some(now) {
-                leases = Leases::new(now);
+                leases = Leases::new(1, now);
             }
             for proposal in leases.due(&document, &members, SECOND, now, || now + 1) {
                 place += 1;
@@ -460,7 +461,7 @@
 fn a_duty_is_given_back_by_its_holder_only_and_moves_only_with_it() {
     let mut document = Document::begun(1, &BTreeMap::new());
     let members: Vec<Candidate> = (0..5).map(|i| (format!("g{i}"), 1)).collect();
-    let mut leases = Leases::new(0);
+    let mut leases = Leases::new(1, 0);
     for proposal in leases.due(&document, &members, SECOND, 0, || 1) {
         let place = at(if proposal.key == ALL[0] { 2 } else { 3 });
         // One id for both: the second is known, and nobody's.
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -48,7 +48,7 @@
 const FETCH: Duration = Duration::from_secs(2);
 /// Letters that wait for one voter, and that go to it at once. Further ones are lost, as the network may lose them.
 const QUEUE: usize = 256;
-const AT_ONCE: usize = 64;
+const AT_ONCE: usize = 16;
 /// Proposals that wait for their end.
 const WAITING: usize = 256;
 /// Rounds without news before that is told.
@@ -439,8 +439,11 @@
         for (duty, token) in state.held.due(now) {
             spawn_local(self.clone().hold(duty, token, now));
         }
-        if state.voter.as_ref().is_some_and(Voter::leads) {
-            let leases = state.leases.get_or_insert_with(|| Leases::new(now));
+        let leads = state.voter.as_ref().filter(|voter| voter.leads()).map(|voter| voter.place().term);
+        if let Some(term) = leads {
+            // Also where it lost the lead and got it back since the last round.
+            let held = state.leases.take().filter(|leases| leases.term() == term);
+            let leases = state.leases.insert(held.unwrap_or_else(|| Leases::new(term, now)));
             let others = marks.iter().filter(|other| other.mark.plan == mark.plan && !other.leaves);
             let mut candidates: Vec<Candidate> =
                 others.map(|other| (other.node.name.clone(), other.node.incarnation)).collect();
--- a/crates/gateway/src/plan/peers.rs
+++ b/crates/gateway/src/plan/peers.rs
@@ -10,8 +10,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// The longest body that is read of a call or an answer: a whole plan fits.
-pub const LONGEST: usize = 16 << 20;
+/// The longest body that is read of letters or of an answer: a whole plan and the letters that go at once fit.
+pub const LONGEST: usize = 12 << 20;
 
 /// A connection to one gateway, made when it is needed.
 pub struct Link {
--- a/crates/gateway/src/plan/serve.rs
+++ b/crates/gateway/src/plan/serve.rs
@@ -17,25 +17,30 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tracing::warn;
 
 /// Connections at once. A further one waits until one of them ends.
 const CONNECTIONS: usize = 128;
+/// Calls at once whose bodies may be long, and the longest body of all others.
+const LONG: usize = 4;
+const SHORT: usize = 16 << 10;
 /// How long a connection may take over the head of a call, or stand idle.
 const IDLE: Duration = Duration::from_secs(30);
+/// How long a body may take.
+const BODY: Duration = Duration::from_secs(2);
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// Serves other gateways for ever.
 pub async fn serve(plan: Rc<Plan>, listener: TcpListener) {
-    let places = Arc::new(Semaphore::new(CONNECTIONS));
+    let (places, long) = (Arc::new(Semaphore::new(CONNECTIONS)), Rc::new(Semaphore::new(LONG)));
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
-                let plan = plan.clone();
+                let (plan, long) = (plan.clone(), long.clone());
                 tokio::task::spawn_local(async move {
-                    connection(plan, stream).await;
+                    connection(plan, stream, long).await;
                     drop(place);
                 });
             }
@@ -47,12 +52,12 @@
     }
 }
 
-async fn connection(plan: Rc<Plan>, stream: TcpStream) {
+async fn connection(plan: Rc<Plan>, stream: TcpStream, long: Rc<Semaphore>) {
     // It fails only on a connection that is gone.
     let _ = stream.set_nodelay(true);
     let service = service_fn(|request| {
-        let plan = plan.clone();
-        async move { Ok::<_, Infallible>(answer(&plan, request).await) }
+        let (plan, long) = (plan.clone(), long.clone());
+        async move { Ok::<_, Infallible>(answer(&plan, request, &long).await) }
     });
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -64,8 +69,8 @@
 
 type Told = (StatusCode, Bytes);
 
-async fn answer(plan: &Rc<Plan>, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let (status, body) = match called(plan, request).await {
+async fn answer(plan: &Plan, request: Request<Incoming>, long: &Semaphore) -> Response<Full<Bytes>> {
+    let (status, body) = match called(plan, request, long).await {
         Ok(told) => told,
         Err(problem) => (StatusCode::BAD_REQUEST, Bytes::from(problem)),
     };
@@ -74,10 +79,18 @@
     response
 }
 
-async fn called(plan: &Rc<Plan>, request: Request<Incoming>) -> Result<Told, String> {
+async fn called(plan: &Plan, request: Request<Incoming>, long: &Semaphore) -> Result<Told, String> {
     let (head, body) = request.into_parts();
     let (method, path) = (head.method, head.uri.path().to_string());
-    let body = Limited::new(body, LONGEST).collect().await.map_err(|e| e.to_string())?.to_bytes();
+    let letters = path == "/plan/letters";
+    let _place = match letters {
+        true => Some(long.acquire().await.map_err(|e| e.to_string())?),
+        false => None,
+    };
+    let most = if letters { LONGEST } else { SHORT };
+    // Whoever drips does not keep others out.
+    let collecting = timeout(BODY, Limited::new(body, most).collect());
+    let body = collecting.await.map_err(|e| e.to_string())?.map_err(|e| e.to_string())?.to_bytes();
     let bad = |e: serde_json::Error| e.to_string();
     match (&method, path.as_str()) {
         (&Method::POST, "/plan/letters") => {
--- a/crates/lab/src/gateway.rs
+++ b/crates/lab/src/gateway.rs
@@ -190,12 +190,14 @@
                 if let Some(line) = found {
                     return Ok(line);
                 }
+                // It may have ended before this was asked; its lines are all read by then.
+                if self.pid.get().is_none() {
+                    let last = self.lines.borrow().last().cloned().unwrap_or_default();
+                    return Err(format!("{} ended before '{part}': {last}", self.name));
+                }
                 tokio::select! {
                     _ = heard.changed() => {}
-                    _ = ended.changed() => {
-                        let last = self.lines.borrow().last().cloned().unwrap_or_default();
-                        return Err(format!("{} ended before '{part}': {last}", self.name));
-                    }
+                    _ = ended.changed() => {}
                 }
             }
         };
