--- a/crates/lanespan/tests/plan.rs
+++ b/crates/lanespan/tests/plan.rs
@@ -147,6 +147,20 @@
     taken_by_another(rig, of, &(String::new(), (0, 0))).await
 }
 
+/// Brings a voter whose store is new back: it is removed, added, and votes.
+async fn added_anew(rig: &Rig, voter: &Gateway) {
+    let (name, address) = (voter.name.as_str(), plan_address(voter).to_string());
+    let removed = ask_leader(rig, &["voters", "remove", name, "--reason", "its disk"]).await;
+    assert!(removed.status.success(), "{}", text(&removed));
+    let add = ["voters", "add", name, &address, "--zone", &voter.zone, "--reason", "a new disk"];
+    let added = ask_leader(rig, &add).await;
+    assert!(added.status.success(), "{}", text(&added));
+    let twice = ask_leader(rig, &add).await;
+    assert_eq!(twice.status.code(), Some(2), "{}", text(&twice));
+    let votes = |told: &BTreeMap<String, Value>| told[name]["votes"] == true;
+    rig.wait_for("it votes", "/fleet/plan", PATIENCE, votes).await.expect("it votes");
+}
+
 async fn unbroken(rig: &Rig) {
     let broken = rig.check().await;
     assert!(broken.is_empty(), "{broken:#?}");
@@ -451,20 +465,11 @@
         // It still follows.
         let after = agree(&rig, "2").await;
         all_at(&rig, after).await;
-        let (name, address) = (victim.name.as_str(), plan_address(&victim).to_string());
-        let removed = ask_leader(&rig, &["voters", "remove", name, "--reason", "its disk"]).await;
-        assert!(removed.status.success(), "{}", text(&removed));
-        let add = ["voters", "add", name, &address, "--zone", &victim.zone, "--reason", "a new disk"];
-        let added = ask_leader(&rig, &add).await;
-        assert!(added.status.success(), "{}", text(&added));
-        let twice = ask_leader(&rig, &add).await;
-        assert_eq!(twice.status.code(), Some(2), "{}", text(&twice));
+        added_anew(&rig, &victim).await;
         let lopsided = ["voters", "add", "g3", &plan_address(&named(&rig, "g3")).to_string(), "--zone", "a"];
         let lopsided = [&lopsided[..], &["--reason", "a test"]].concat();
         assert!(ask_leader(&rig, &lopsided).await.status.success(), "two of four are no majority");
-        // It votes: with one of the other old ones gone, three of four are there only with it.
-        let votes = |told: &BTreeMap<String, Value>| told[name]["votes"] == true;
-        rig.wait_for("it votes", "/fleet/plan", PATIENCE, votes).await.expect("it votes");
+        // It counts: with one of the other old ones gone, three of four are there only with it.
         let gone =
             rig.gateways[..3].iter().find(|g| g.name != victim.name && g.name != "g0").expect("another");
         act(&rig, Act::Kill(vec![gone.name.clone()])).await;
@@ -503,14 +508,7 @@
         act(&rig, Act::Kill(vec![victim.name.clone()])).await;
         std::fs::remove_file(&store).expect("there");
         act(&rig, Act::Start(vec![victim.name.clone()])).await;
-        let (name, address) = (victim.name.as_str(), plan_address(&victim).to_string());
-        let removed = ask_leader(&rig, &["voters", "remove", name, "--reason", "its disk"]).await;
-        assert!(removed.status.success(), "{}", text(&removed));
-        let add = ["voters", "add", name, &address, "--zone", &victim.zone, "--reason", "a new disk"];
-        let added = ask_leader(&rig, &add).await;
-        assert!(added.status.success(), "{}", text(&added));
-        let votes = |told: &BTreeMap<String, Value>| told[name]["votes"] == true;
-        rig.wait_for("it votes", "/fleet/plan", PATIENCE, votes).await.expect("it votes");
+        added_anew(&rig, &victim).await;
         act(&rig, Act::Kill(vec![second.name.clone()])).await;
         let size = std::fs::metadata(rig.directory.join(format!("{}-plan", second.name)).join("plan.redb"));
         let blocks = size.expect("there").len() / 512;
