--- a/crates/lanespan/tests/command.rs
+++ b/crates/lanespan/tests/command.rs
@@ -124,6 +124,57 @@
         assert_eq!((code, lines.len()), (Some(2), 1), "{lines:?}");
         assert!(lines[0].contains(told), "{told}: {lines:?}");
     }
+    // One problem of the plan each, in a site of three zones; the file's gateway is none of the voters.
+    let voter = |zone: &str, port: u16| json!({ "zone": zone, "address": format!("127.0.0.1:{port}") });
+    let sound = json!({ "v0": voter("a", 1), "v1": voter("b", 2), "v2": voter("c", 3) });
+    let one = |key: &str, value: Value| {
+        let mut plan = json!({ "voters": sound });
+        plan[key] = value;
+        let mut file = with("fleet", json!({ "plan": plan }));
+        file["settings"]["zones"] = json!(["a", "b", "c"]);
+        file["settings"]["zone"] = json!("a");
+        file
+    };
+    let (code, lines) = check(&one("tick_ms", json!(100)).to_string());
+    assert_eq!(code, Some(0), "{lines:?}");
+    for (key, value, told) in [
+        (
+            "voters",
+            json!({ "v0": voter("a", 1), "v1": voter("b", 2) }),
+            "voters: expected 1, 3 or 5, found 2",
+        ),
+        (
+            "voters",
+            json!({ "v0": voter("a", 1), "v1": voter("a", 2), "v2": voter("b", 3) }),
+            "voters: zone 'a' alone holds a majority",
+        ),
+        (
+            "voters",
+            json!({ "v0": voter("d", 1) }),
+            "voters.v0.zone: expected one of settings.zones, found 'd'",
+        ),
+        (
+            "voters",
+            json!({ "v0": voter("a", 1), "v1": voter("b", 1), "v2": voter("c", 3) }),
+            "voters: two have one address",
+        ),
+        ("tick_ms", json!(5), "tick_ms: expected 10 or more, found 5"),
+        ("lease_ms", json!(100), "lease_ms: expected 20 ticks, 2000, or more, found 100"),
+        (
+            "listen",
+            json!("0.0.0.0:7947"),
+            "advertise: must be there where fleet.plan.listen names no address",
+        ),
+        ("ticks", json!(5), "ticks: unknown; known are listen, "),
+    ] {
+        let (code, lines) = check(&one(key, value).to_string());
+        assert_eq!((code, lines.len()), (Some(2), 1), "{lines:?}");
+        assert!(lines[0].contains(&format!("fleet.plan.{told}")), "{told}: {lines:?}");
+    }
+    let mut voting = one("tick_ms", json!(100));
+    voting["name"] = json!("v0");
+    let (code, lines) = check(&voting.to_string());
+    assert!(code == Some(2) && lines[0].contains("fleet.plan.directory: must be there"), "{lines:?}");
     let mut nameless = with("fleet", json!({}));
     nameless["name"] = json!("");
     let (code, lines) = check(&nameless.to_string());
