--- a/crates/fleet/src/plan/sim.rs
+++ b/crates/fleet/src/plan/sim.rs
@@ -42,6 +42,8 @@
     pub voter: Option<Voter>,
     /// What is durable.
     pub disk: Durable,
+    /// The least and the most time that its writes take, where that is not the weather's.
+    pub disk_takes: Option<(u64, u64)>,
     pending: Option<(u64, Write)>,
     life: u32,
     still_until: u64,
@@ -87,6 +89,7 @@
         let seat = |i: usize| Seat {
             voter: None,
             disk: if i < voters { first.clone() } else { Durable::nothing() },
+            disk_takes: None,
             pending: None,
             life: 0,
             still_until: 0,
@@ -279,7 +282,7 @@
             match output {
                 Output::Send(letter) => self.send(i, letter),
                 Output::Write(number, write) => {
-                    let (least, most) = self.weather.disk;
+                    let (least, most) = self.seats[i].disk_takes.unwrap_or(self.weather.disk);
                     let (after, life) = (self.rng.u64(least..=most), self.seats[i].life);
                     self.seats[i].pending = Some((number, write));
                     self.at(after, Event::Written(i, life, number));
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -240,6 +240,25 @@
     assert!(Voter::new(1, 7, &holed, 1).err().is_some_and(|told| told.contains("missing")));
 }
 
+#[test]
+fn what_a_voter_has_not_made_durable_it_has_not_said() {
+    for seed in 1..=5 {
+        let mut net = Net::new(3, 0, seed);
+        net.until(PATIENCE, |net| net.leader().is_some()).expect("a leader");
+        let leader = net.leader().expect("there");
+        let others: Vec<usize> = (0..3).filter(|i| *i != leader).collect();
+        others.iter().for_each(|i| net.seats[*i].disk_takes = Some((10 * SECOND, 10 * SECOND)));
+        net.propose(leader, 1, 1, None).expect("it leads");
+        net.run(5 * SECOND);
+        // Their disks lose it, and nobody may have counted on it; nor on a vote that is not kept.
+        assert!(net.seats.iter().all(|seat| seat.decided.is_empty()), "seed {seed}");
+        assert!(
+            net.leader().is_none_or(|there| there == leader),
+            "seed {seed}: elected by votes that are not kept"
+        );
+    }
+}
+
 #[test]
 fn a_disk_that_fails_ends_the_voter_and_what_it_did_not_write_was_never_promised() {
     let mut net = Net::new(3, 0, 2);
