Plan: numbers of proposals are drawn by the life, so that none comes again after a restart

Found on rereading: the generator of proposals' ids was seeded by the configuration alone. A gateway that draws an id of its earlier life again is answered 'known', and a duty that it gives back would stay its own until the lease ends. The seed takes the incarnation in.

--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -163,10 +163,11 @@
         clock: Clock,
         seed: u64,
     ) -> Result<(Rc<Plan>, TcpListener), String> {
-        let mut rng = fastrand::Rng::with_seed(seed ^ 0x706c_616e);
+        // By the life too: a proposal's id must not come again after a restart, or it would pass for one sent twice.
+        let mut rng = fastrand::Rng::with_seed(seed ^ fleet.me().1);
         let (mut store, mut voter, mut replica) = (None, None, Replica::default());
         if let Some(directory) = &set.directory {
-            // Not from the seed, which is the same after a restart: an empty store must be nobody's old one.
+            // Nor the store's identity: an empty one must be nobody's old one.
             let new = format!("{:?} {} {}", fleet.me(), clock.now().0, fastrand::u64(..));
             let (opened, durable) = Store::open(directory, xxh3_64(new.as_bytes()).max(1))?;
             let owner = opened.owner();
