Rereading: one way to ask gateways, to say hello, to read a figure; entries are read once

Found on rereading the change: the rig asked doors and waited for them in two loops (views, and any path), the plan's hello was called and parsed in two places, a metric was read in two, and a decided entry was parsed twice to count a lease.

--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -310,7 +310,7 @@
                             state.voter.iter_mut().for_each(|voter| voter.disk_failed(&problem));
                         }
                     }
-                    Output::Decided { id, verdict, entry } => self.decided(state, now, id, verdict, entry),
+                    Output::Decided { id, verdict, entry } => self.decided(state, id, verdict, entry),
                     Output::Restored => {
                         let newer = |replica: &&Replica| replica.mark().index >= state.replica.mark().index;
                         if let Some(replica) = state.voter.as_ref().and_then(Voter::replica).filter(newer) {
@@ -333,14 +333,9 @@
         self.fleet.act_on(mark);
     }
 
-    fn decided(&self, state: &mut State, now: u64, id: u64, verdict: Verdict, entry: Option<Entry>) {
+    fn decided(&self, state: &mut State, id: u64, verdict: Verdict, entry: Option<Entry>) {
         if let Some(entry) = entry {
             let plan = state.replica.mark().plan;
-            if let Some((grant, proposal)) = entry.proposal().map(|p| (p.section == DUTIES, p)) {
-                if let Some(leases) = state.leases.as_mut().filter(|_| grant && proposal.value.is_some()) {
-                    leases.granted(&proposal.key, entry.token, now);
-                }
-            }
             self.changed(state, &entry);
             // What the voter applied is what this copy takes.
             if let Err(problem) = state.replica.take(plan, News::Entries(vec![entry])) {
@@ -355,10 +350,15 @@
         }
     }
 
-    /// One line a change.
+    /// One line a change; a lease that this gateway granted as the leader is counted from here.
     fn changed(&self, state: &mut State, entry: &Entry) {
         state.changes += 1;
         let Some(proposal) = entry.proposal() else { return };
+        if let Some(leases) =
+            state.leases.as_mut().filter(|_| proposal.section == DUTIES && proposal.value.is_some())
+        {
+            leases.granted(&proposal.key, entry.token, self.now());
+        }
         let Proposal { section, key, value, proposer, reason, schema, .. } = &proposal;
         let (index, token, value) = (entry.index, entry.token, value.as_deref().unwrap_or("-"));
         info!(index, %token, section, key, value, proposer, reason, "plan: changed");
@@ -448,6 +448,7 @@
         let marks = self.fleet.marks();
         self.compare(&marks);
         let me = self.me();
+        let name = me.0.clone();
         let state = &mut *self.state.borrow_mut();
         let mark = state.replica.mark();
         let turns = state.held.follow(state.replica.document(), &me, now);
@@ -479,7 +480,7 @@
             state.confirms.clear();
         }
         // One that is no first voter is written to once it is added.
-        let first = self.set.voters.contains_key(&self.me().0);
+        let first = self.set.voters.contains_key(&name);
         let empty = first && state.store.as_ref().is_some_and(|store| store.owner().plan == 0);
         let late_enough = self.rounds.get() >= BEGIN_AFTER && self.rounds.get().is_multiple_of(ROUND);
         if empty && late_enough && state.beginning.is_none() && !self.asking.get() {
@@ -572,9 +573,9 @@
     async fn fetch(self: Rc<Self>, address: SocketAddr) {
         let mut link = Link::new(address);
         loop {
-            let index = self.state.borrow().replica.mark().index;
-            let index = if self.state.borrow().replica.mark().plan == 0 { None } else { Some(index) };
-            let path = format!("/plan/news?after={}", index.map_or(-1, |index| index as i64));
+            let mark = self.state.borrow().replica.mark();
+            let after = if mark.plan == 0 { -1 } else { mark.index as i64 };
+            let path = format!("/plan/news?after={after}");
             let answer = link.call(Method::GET, &path, Bytes::new(), FETCH).await;
             let news = answer.and_then(|(_, body)| {
                 postcard::from_bytes::<(u64, Option<News>)>(&body).map_err(|e| e.to_string())
@@ -625,16 +626,20 @@
         Hello { name: self.me().0, id: store.map_or(0, |owner| owner.id), plan, voters }
     }
 
+    /// What the gateway says whose plan is told to be there.
+    async fn hello_of(&self, told: SocketAddr) -> Result<Hello, String> {
+        let mut link = Link::new(self.route(told));
+        let (_, body) = link.call(Method::GET, "/plan/hello", Bytes::new(), FETCH).await?;
+        serde_json::from_slice(&body).map_err(|error| error.to_string())
+    }
+
     /// An empty store: the first voters begin a plan once all of them are there and none knows one; else this one is
     /// told which plan it belongs to, and waits until it is added.
     async fn found(self: Rc<Self>) {
         let me = self.me().0;
         let mut hellos = vec![self.hello()];
         for (name, voter) in self.set.voters.iter().filter(|(name, _)| **name != me) {
-            let mut link = Link::new(self.route(voter.address));
-            let answer = link.call(Method::GET, "/plan/hello", Bytes::new(), FETCH).await;
-            let hello = answer
-                .and_then(|(_, body)| serde_json::from_slice::<Hello>(&body).map_err(|e| e.to_string()));
+            let hello = self.hello_of(voter.address).await;
             hellos.extend(hello.ok().filter(|hello| hello.name == *name));
         }
         let state = &mut *self.state.borrow_mut();
@@ -826,12 +831,7 @@
             (None, None) => return Answer::Wrong(format!("'{}' does not vote", wish.name)),
             (None, Some(item)) => (VoterChange::Remove(item.id), None),
             (Some(address), None) => {
-                let answer = Link::new(self.route(address))
-                    .call(Method::GET, "/plan/hello", Bytes::new(), FETCH)
-                    .await;
-                let hello =
-                    answer.and_then(|(_, b)| serde_json::from_slice::<Hello>(&b).map_err(|e| e.to_string()));
-                let hello = match hello {
+                let hello = match self.hello_of(address).await {
                     Ok(hello) if hello.name == wish.name && hello.id != 0 => hello,
                     Ok(hello) => {
                         let what = if hello.id == 0 { "has no plan directory" } else { "is another gateway" };
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -24,6 +24,9 @@
 /// How long a kill may take to be known.
 const PATIENCE: Duration = Duration::from_secs(120);
 
+/// The bytes of datagrams that a gateway sent.
+const SENT: &str = "lanespan_fleet_bytes_sent_total";
+
 /// The head of the table that `simulated` fills.
 pub const SIMULATED: &str =
     "members  seed  first s  all s  false suspicions  lost falsely  datagrams/s  bytes/s  exchanges";
@@ -88,13 +91,8 @@
     let figures = || async {
         let mut figures = (0.0, 0.0);
         for gateway in &rig.gateways {
-            let (_, told) = crate::http::get(gateway.door.get(), "/metrics").await?;
-            let told = String::from_utf8_lossy(&told).into_owned();
-            let figure = |name: &str| {
-                told.lines().find_map(|line| line.strip_prefix(name)?.trim().parse::<f64>().ok())
-            };
-            figures.0 += figure("lanespan_fleet_datagrams_sent_total").unwrap_or(f64::NAN);
-            figures.1 += figure("lanespan_fleet_bytes_sent_total").unwrap_or(f64::NAN);
+            figures.0 += figure(gateway, "lanespan_fleet_datagrams_sent_total").await?;
+            figures.1 += figure(gateway, SENT).await?;
         }
         Ok::<_, String>(figures)
     };
@@ -197,12 +195,12 @@
         acted.push(from.elapsed().as_secs_f64() * 1e3);
     }
     let follower = rig.gateways.last().ok_or("no gateway")?;
-    let (cpu, bytes) = (follower.cpu(), sent(follower).await?);
+    let (cpu, bytes) = (follower.cpu(), figure(follower, SENT).await?);
     let from = Instant::now();
     sleep(Duration::from_secs(20)).await;
     let span = from.elapsed().as_secs_f64();
     let cpu = follower.cpu().zip(cpu).map_or(f64::NAN, |(after, before)| (after - before) / span * 1e3);
-    let bytes = (sent(follower).await? - bytes) / span;
+    let bytes = (figure(follower, SENT).await? - bytes) / span;
     let mut row = format!("{gateways:>7}  ");
     for times in [&mut agreed, &mut acted] {
         times.sort_by(f64::total_cmp);
@@ -234,12 +232,12 @@
     Ok(row)
 }
 
-/// The bytes of datagrams that a gateway sent since its start.
-async fn sent(gateway: &Gateway) -> Result<f64, String> {
+/// A figure of a gateway's.
+async fn figure(gateway: &Gateway, name: &str) -> Result<f64, String> {
     let (_, told) = crate::http::get(gateway.door.get(), "/metrics").await?;
     let told = String::from_utf8_lossy(&told).into_owned();
-    let line = told.lines().find_map(|line| line.strip_prefix("lanespan_fleet_bytes_sent_total "));
-    line.and_then(|figure| figure.trim().parse().ok()).ok_or("no figure".to_string())
+    let figure = told.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok());
+    figure.ok_or_else(|| format!("{}: no figure {name}", gateway.name))
 }
 
 /// The head of the table that `ceiling` fills.
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -202,34 +202,12 @@
         patience: Duration,
         so: impl Fn(&BTreeMap<String, Value>) -> bool,
     ) -> Result<(), String> {
-        let until = Instant::now() + patience;
-        loop {
-            let views = self.views().await;
-            if so(&views) {
-                return Ok(());
-            }
-            if Instant::now() >= until {
-                let seen: Vec<String> = views.iter().map(|(name, view)| summary(name, view)).collect();
-                return Err(format!("waited {patience:?} in vain for {what}: {}", seen.join("; ")));
-            }
-            sleep(LOOK).await;
-        }
+        self.looked("/fleet/members", what, patience, so, summary).await.map(drop)
     }
 
     /// The views of all running gateways that answer.
     pub async fn views(&self) -> BTreeMap<String, Value> {
-        let mut asked = tokio::task::JoinSet::new();
-        for gateway in self.running() {
-            let gateway = gateway.clone();
-            asked.spawn_local(async move { (gateway.name.clone(), gateway.ask("/fleet/members").await) });
-        }
-        let mut views = BTreeMap::new();
-        while let Some(answered) = asked.join_next().await {
-            if let Ok((name, Ok(view))) = answered {
-                views.insert(name, view);
-            }
-        }
-        views
+        self.told("/fleet/members").await
     }
 
     /// Waits until all running gateways hold the same view, which is what the rig knows.
@@ -238,12 +216,17 @@
         self.wait_for_views("views that agree", patience, |views| checks::agree(views, &running)).await
     }
 
-    /// What every running gateway says at a path of its door.
-    pub async fn told(&self, path: &str) -> BTreeMap<String, Value> {
-        let mut told = BTreeMap::new();
+    /// What every running gateway that answers says at a path of its door.
+    pub async fn told(&self, path: &'static str) -> BTreeMap<String, Value> {
+        let mut asked = tokio::task::JoinSet::new();
         for gateway in self.running() {
-            if let Ok(answer) = gateway.ask(path).await {
-                told.insert(gateway.name.clone(), answer);
+            let gateway = gateway.clone();
+            asked.spawn_local(async move { (gateway.name.clone(), gateway.ask(path).await) });
+        }
+        let mut told = BTreeMap::new();
+        while let Some(answered) = asked.join_next().await {
+            if let Ok((name, Ok(answer))) = answered {
+                told.insert(name, answer);
             }
         }
         told
@@ -253,9 +236,21 @@
     pub async fn wait_for(
         &self,
         what: &str,
-        path: &str,
+        path: &'static str,
+        patience: Duration,
+        so: impl Fn(&BTreeMap<String, Value>) -> bool,
+    ) -> Result<BTreeMap<String, Value>, String> {
+        self.looked(path, what, patience, so, |name, told| format!("{name} {told}")).await
+    }
+
+    /// The same; what was seen last is shown so, where it never is.
+    async fn looked(
+        &self,
+        path: &'static str,
+        what: &str,
         patience: Duration,
         so: impl Fn(&BTreeMap<String, Value>) -> bool,
+        shown: impl Fn(&str, &Value) -> String,
     ) -> Result<BTreeMap<String, Value>, String> {
         let until = Instant::now() + patience;
         loop {
@@ -264,7 +259,8 @@
                 return Ok(told);
             }
             if Instant::now() >= until {
-                return Err(format!("waited {patience:?} in vain for {what}: {}", json!(told)));
+                let seen: Vec<String> = told.iter().map(|(name, told)| shown(name, told)).collect();
+                return Err(format!("waited {patience:?} in vain for {what}: {}", seen.join("; ")));
             }
             sleep(LOOK).await;
         }
