Tests leave the source files for tests.rs beside them, by moves alone

Need: tests live in test files. Change: each module's text now stands in tests.rs beside its source, one level less indented; nothing else is touched.

--- /dev/null
+++ b/crates/gateway/src/backend/tests.rs
@@ -0,0 +1,17 @@
+use super::*;
+
+fn report(text: &'static str) -> Report {
+    let mut response = Response::new(Served::Whole(Bytes::new()));
+    response.headers_mut().insert(LOAD, HeaderValue::from_static(text));
+    outcome_of(response).report
+}
+
+#[test]
+fn a_load_report_is_read_and_what_is_spoilt_is_passed_over() {
+    let (queue, busy) = (Some(2.0), Some(0.61));
+    assert_eq!(report("TEXT depth=2, load_share=0.61"), Report { queue, busy, ..Report::default() });
+    assert_eq!(report("TEXT depth=-2, load_share=0.61"), Report { busy, ..Report::default() });
+    for spoilt in ["", "TEXT", "TEXT depth=,load_share", "depth=NaN, load_share=inf", "%%=%%;;"] {
+        assert_eq!(report(spoilt), Report::default(), "{spoilt}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/driver/tests.rs
@@ -0,0 +1,140 @@
+use super::*;
+use crate::backend::Payload;
+use crate::relay::{Answered, Guard};
+use http_body_util::BodyExt;
+use hyper::{HeaderMap, Method};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+const CONFIG: &str = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","streaming":{},
+    "settings":{"balancers":1,"my_number":0,"tick":1000,"zone":"a","zones":["a"],
+    "bounds":{"max_attempts":3,"may_cancel":true,"second_copies":true},
+    "classes":[{"name":"look","effect":"pure","deadline":4000000,"on_time":1000000}],
+    "plans":[{"name":"team","per_second":0.0,"peak_units":1.0,"price":1.0}],
+    "specifics":{"counter":false,"units_top":4},"rules":{"cold":1,"cold_from":0.2,"fall_multiple":2.0}}}"#;
+
+/// A backend that begins long answers and goes on once told, then reads to the end of its connection.
+async fn backend_with_long_answers(go_on: Rc<tokio::sync::Notify>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let go_on = go_on.clone();
+            tokio::task::spawn_local(async move {
+                let mut asked = [0; 1024];
+                assert!(stream.read(&mut asked).await.is_ok_and(|read| read > 0));
+                let head = b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n";
+                stream.write_all(&[&head[..], &[b'x'; 100_000]].concat()).await.expect("it reads");
+                go_on.notified().await;
+                // One that was called off is closed by now.
+                let _ = stream.write_all(&[b'x'; 100_000]).await;
+                let _ = stream.read(&mut asked).await;
+            });
+        }
+    });
+    address
+}
+
+/// One attempt at this backend that is not called off.
+async fn attempt_at(driver: &Driver, address: SocketAddr, number: usize) -> (Ended, Attempt) {
+    let backend = driver.pool.backend(address, number as u64, None);
+    let until = Instant::now() + Duration::from_secs(10);
+    let (call_off, called_off) = oneshot::channel();
+    let order = backend::Order { number, until, called_off };
+    let (method, uri) = (Method::GET, "/".parse().expect("a path"));
+    let body = Payload::Whole(bytes::Bytes::new());
+    let forward = Forward { method, uri, headers: HeaderMap::new(), body };
+    (attempt(&driver.pool, &driver.relays, &backend, &forward, order).await, Attempt::new(Some(call_off)))
+}
+
+fn driver() -> Driver {
+    let config = Config::parse(CONFIG).expect("a configuration that makes sense");
+    Driver::new(config, Clock::start(0), Rc::default()).expect("a driver")
+}
+
+struct Slow(bool);
+impl Guard for Slow {
+    fn moved(&self, _bytes: u64) {}
+    fn lags(&self) -> bool {
+        self.0
+    }
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_slow_transfer_is_its_backend_s_fault_only_if_that_was_waited_for() {
+    let testing = async {
+        let address = backend_with_long_answers(Rc::default()).await;
+        let driver = driver();
+        for (slow, read_all, told) in [
+            (true, true, Outcome::Timeout),
+            (true, false, Outcome::Cancelled),
+            (false, true, Outcome::Cancelled),
+        ] {
+            let (mut ended, _) = attempt_at(&driver, address, 0).await;
+            let Some(Served::Long(relay)) = ended.body.take() else { panic!("an answer that flows") };
+            let mut body = Answered::Long(relay, Slow(slow));
+            let mut read = 0;
+            while read_all && read < 100_000 {
+                let frame = body.frame().await.expect("it goes on").expect("it is sound");
+                read += frame.into_data().expect("data").len();
+            }
+            if read_all {
+                // Nothing more comes.
+                let waiting = tokio::time::timeout(Duration::from_millis(1), body.frame()).await;
+                assert!(waiting.is_err());
+            }
+            drop(body);
+            let over = ended.over.expect("it flows").await;
+            assert_eq!(over, Ok(told), "slow {slow}, waited for {read_all}");
+        }
+    };
+    LocalSet::new().run_until(testing).await;
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn of_two_copies_past_their_heads_one_is_the_client_s_and_the_other_ends() {
+    let testing = async {
+        let go_on = Rc::<tokio::sync::Notify>::default();
+        let address = backend_with_long_answers(go_on.clone()).await;
+        let mut driver = driver();
+        let (reply, answer) = oneshot::channel();
+        let (id, mut copies, mut attempts) = (RequestId(1), Vec::new(), Vec::new());
+        for number in 0..2 {
+            let (ended, attempt) = attempt_at(&driver, address, number).await;
+            copies.push(ended);
+            attempts.push(attempt);
+        }
+        let (method, uri) = (Method::GET, "/".parse().expect("a path"));
+        let body = Payload::Whole(bytes::Bytes::new());
+        let forward = Rc::new(Forward { method, uri, headers: HeaderMap::new(), body });
+        let came = (ClassId(0), PlanId(0), Micros(0));
+        driver.requests.insert(id, Open { reply: Some(reply), forward, attempts, came });
+        assert!(copies.iter().all(|copy| matches!(copy.body, Some(Served::Long(_)))));
+        let over: Vec<_> = copies.iter_mut().filter_map(|copy| copy.over.take()).collect();
+        for (number, copy) in copies.into_iter().enumerate() {
+            driver.take(Input::Ended(id, number, ServerId(number as u64), copy, Micros(1000)));
+        }
+        let outcomes = |driver: &Driver| {
+            let ended = driver.batch.iter().filter_map(|event| match event {
+                Event::AttemptEnded(end) => Some((end.attempt, end.outcome, end.ended)),
+                _ => None,
+            });
+            ended.collect::<Vec<_>>()
+        };
+        assert!(driver.batch.iter().any(|event| matches!(event, Event::StreamStarted(_, 0))));
+        assert_eq!(outcomes(&driver), [(1, Outcome::Ok, true)], "the first is still on its way");
+        assert_eq!(driver.pool.gauges().in_use, 1, "the second's connection is closed");
+        let Ok(Answer::Served(Served::Long(relay))) = answer.await else { panic!("an answer that flows") };
+        go_on.notify_waiters();
+        let all = relay.collect().await.expect("it ends well").to_bytes();
+        assert_eq!(all.len(), 200_000);
+        for (number, over) in over.into_iter().enumerate() {
+            driver.take(Input::Over(id, number, over.await.expect("told")));
+        }
+        assert_eq!(outcomes(&driver), [(1, Outcome::Ok, true), (0, Outcome::Ok, true)], "each once");
+        driver.tidy(id);
+        assert!(driver.requests.is_empty());
+    };
+    LocalSet::new().run_until(testing).await;
+}
--- /dev/null
+++ b/crates/gateway/src/pool/settings/tests.rs
@@ -0,0 +1,65 @@
+use super::*;
+use crate::config::{document::Document, problems};
+use serde_json::{json, Value};
+
+fn around(gateways: u32, links: usize) -> Around {
+    let (dial_timeout, conn_idle) = (Duration::from_millis(250), Duration::from_secs(30));
+    Around { links, links_most: 448, gateways, sockets: 1024, dial_timeout, conn_idle }
+}
+
+fn read(section: Value) -> Result<PoolSettings, String> {
+    let (document, problems) = problems::read::<Document>(json!({"pool": section}), &["pool"]);
+    match document.filter(|_| problems.is_empty()) {
+        Some(document) => PoolSettings::of(&document.pool, &around(300, 256)).map_err(|e| e.to_string()),
+        None => Err(problems.join("; ")),
+    }
+}
+
+#[test]
+fn without_a_section_the_bounds_follow_the_fleet_and_the_descriptors() {
+    let large = read(json!({})).expect("defaults");
+    assert_eq!((large.links, large.backend_least, large.backend_most), (256, 2, 4));
+    assert_eq!(large.idle_backends, 64, "a subset of a large fleet");
+    assert_eq!((large.idle_least, large.idle_most), (Duration::from_secs(15), Duration::from_millis(22_500)));
+    let few = PoolSettings::of(&PoolSection::default(), &around(3, 256)).expect("defaults");
+    assert_eq!(few.backend_most, 128, "half of the connections at most");
+    for links in 1..20 {
+        let small = PoolSettings::of(&PoolSection::default(), &around(300, links));
+        assert!(small.is_ok(), "defaults fit however few there are: {links}");
+    }
+}
+
+#[test]
+fn what_makes_no_sense_is_told_in_one_line_that_names_the_key() {
+    for (section, line) in [
+        (json!({"link": 3}), "pool.link: unknown; known are links, "),
+        (json!({"links": 0}), "pool.links: expected a whole number from 1 to 1000000, found 0"),
+        (json!({"wait_ms": 0}), "pool.wait_ms: expected a whole number from 1 to 3600000, found 0"),
+        (json!({"waiting": -1}), "pool.waiting: expected a whole number from 1 to 1000000, found -1"),
+        (json!({"warm_burst": 1.5}), "pool.warm_burst: expected a whole number"),
+        (json!({"warm_per_s": "2"}), "pool.warm_per_s: expected a whole number"),
+        (json!({"warm_up": 1}), "pool.warm_up: expected true or false, found 1"),
+        (
+            json!({"links": 449}),
+            "pool.links: 449 is over what limits.sockets, 1024, leaves for backends, 448",
+        ),
+        (json!({"backend_least": 5}), ""),
+        (
+            json!({"backend_least": 5, "backend_most": 4}),
+            "pool.backend_least: 5 is over pool.backend_most, 4",
+        ),
+        (json!({"links": 8, "backend_most": 9}), "pool.backend_most: 9 is over pool.links, 8"),
+        (
+            json!({"idle_least_ms": 9, "idle_most_ms": 8}),
+            "pool.idle_least_ms: 9ms is over pool.idle_most_ms, 8ms",
+        ),
+        (json!({"idle_most_ms": 30001}), "pool.idle_most_ms: 30.001s is over settings.bounds.conn_idle, 30s"),
+        (json!({"waiting": 2, "backend_waiting": 3}), "pool.backend_waiting: 3 is over pool.waiting, 2"),
+        (json!({"backoff_least_ms": 9, "backoff_most_ms": 8}), "pool.backoff_least_ms: 9ms is over"),
+        (json!([]), "pool: expected an object, found []"),
+    ] {
+        let told = read(section.clone()).err().unwrap_or_default();
+        assert!(told.starts_with(line) && (told.is_empty() == line.is_empty()), "{section}: {told}");
+        assert!(!told.contains('\n'), "{told}");
+    }
+}
