A keyed repeat is begun within its window, however long its connection takes

Checked: Gateway::may_send looks at the window when it decides (rules/guards.rs), and the group held. Ruled out: the stale-connection retry in backend::exchange, which follows only where nothing was written. At fault: Action::Send carried no time by which to begin. exchange waited in Pool::checkout for a connection, up to bounds.dial_timeout, and wrote the repeat whenever it came up. Change: Send says by when an attempt is begun; for a keyed request that may have run, the end of its window less two ticks. The driver waits for a connection no longer and does not write behind it; such an attempt is moot. Tests: a module's repeat names its window's end; an attempt behind it writes nothing, with and without a connection at hand.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -102,6 +102,8 @@
 pub struct Order {
     /// Which of its request's attempts it is, from 0.
     pub number: usize,
+    /// It is not begun later than then.
+    pub begin_by: Instant,
     /// It ends by then, unless it carries a long upload.
     pub until: Instant,
     /// Told when it is called off.
@@ -131,7 +133,7 @@
     request: &Forward,
     order: Order,
 ) -> Ended {
-    let Order { number, until, called_off } = order;
+    let Order { number, until, begin_by, called_off } = order;
     let written = RefCell::new(Written::default());
     tokio::select! {
         biased;
@@ -149,7 +151,7 @@
             }
             Written { traffic: None, .. } => Outcome::ConnectFailed.into(),
         },
-        ended = exchange(pool, relays, backend, request, number, until, &written) => ended,
+        ended = exchange(pool, relays, backend, request, number, (until, begin_by), &written) => ended,
     }
 }
 
@@ -180,16 +182,19 @@
     backend: &Backend,
     request: &Forward,
     number: usize,
-    until: Instant,
+    (until, begin_by): (Instant, Instant),
     written: &RefCell<Written>,
 ) -> Ended {
     loop {
-        let mut lease = match pool.checkout(backend, until).await {
+        let mut lease = match pool.checkout(backend, until.min(begin_by)).await {
+            // A repeat whose time ended while a connection came up says nothing of its backend.
+            Err(_) if begin_by < until && Instant::now() >= begin_by => return Outcome::Moot.into(),
             Ok(lease) => lease,
             Err(why) => return outcome_without(why).into(),
         };
-        // Guards against sending to a backend that began to drain while the connection came up.
-        if !backend.open.get() {
+        // Guards against sending to a backend that began to drain while the connection came up, and against a
+        // repeat behind the time in which its first attempt is remembered.
+        if !backend.open.get() || Instant::now() > begin_by {
             return Outcome::Moot.into();
         }
         let reused = lease.reused;
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -510,7 +510,7 @@
 
     fn act(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Send(id, server, until) => self.send(now, id, server, until),
+            Action::Send(id, server, until, begin_by) => self.send(now, id, server, until, begin_by),
             Action::Refuse(id, wait) => self.answer(id, Answer::Refused(wait)),
             Action::Fail(id) => self.answer(id, Answer::Failed),
             Action::Cancel(id, attempt) => {
@@ -607,7 +607,7 @@
         }
     }
 
-    fn send(&mut self, now: Micros, id: RequestId, server: ServerId, until: Micros) {
+    fn send(&mut self, now: Micros, id: RequestId, server: ServerId, until: Micros, begin_by: Micros) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let number = open.attempts.len();
         let backend = self.backends.get(&server).filter(|_| open.reply.is_some()).cloned();
@@ -620,9 +620,9 @@
         open.attempts.push(Attempt::new(Some(call_off)));
         let (pool, relays) = (self.pool.clone(), self.relays.clone());
         let (forward, inbox) = (open.forward.clone(), self.inbox.clone());
-        let (until, clock) = (self.clock.instant(until), self.clock);
+        let (until, begin_by, clock) = (self.clock.instant(until), self.clock.instant(begin_by), self.clock);
         tokio::task::spawn_local(async move {
-            let order = backend::Order { number, until, called_off };
+            let order = backend::Order { number, until, begin_by, called_off };
             let mut work = pin!(attempt(&pool, &relays, &backend, &forward, order));
             let bound = async {
                 match forward.body.upload() {
--- a/crates/gateway/src/driver/tests.rs
+++ b/crates/gateway/src/driver/tests.rs
@@ -41,7 +41,7 @@
     let backend = driver.pool.backend(address, number as u64, None);
     let until = Instant::now() + Duration::from_secs(10);
     let (call_off, called_off) = oneshot::channel();
-    let order = backend::Order { number, until, called_off };
+    let order = backend::Order { number, until, begin_by: until, called_off };
     let (method, uri) = (Method::GET, "/".parse().expect("a path"));
     let body = Payload::Whole(bytes::Bytes::new());
     let forward = Forward { method, uri, headers: HeaderMap::new(), body };
--- a/crates/gateway/tests/backend.rs
+++ b/crates/gateway/tests/backend.rs
@@ -54,7 +54,8 @@
 /// An attempt that may take so long and is never called off.
 async fn attempt(pool: &Rc<Pool>, backend: &Backend, limit: Duration) -> Ended {
     let (_call_off, called_off) = oneshot::channel();
-    let order = Order { number: 0, until: Instant::now() + limit, called_off };
+    let until = Instant::now() + limit;
+    let order = Order { number: 0, until, begin_by: until, called_off };
     lanespan_gateway::backend::attempt(pool, &whole(), backend, &post(), order).await
 }
 
@@ -106,7 +107,7 @@
             &relays,
             &backend,
             &forward,
-            Order { number: 0, until, called_off },
+            Order { number: 0, until, begin_by: until, called_off },
         );
         let (ended, ()) = tokio::join!(out, async {
             while stub.requests().len() < 2 {
@@ -371,7 +372,7 @@
                         &relays,
                         &backend,
                         &forward,
-                        Order { number: 0, until, called_off },
+                        Order { number: 0, until, begin_by: until, called_off },
                     );
                     tokio::join!(out, calling_off).0.outcome
                 });
@@ -421,3 +422,44 @@
         assert_eq!((pool.counters().dials, pool.gauges().open()), (1, 0));
     });
 }
+
+#[test]
+fn a_repeat_is_not_begun_behind_its_time_whether_or_not_a_connection_stands_ready() {
+    let stub = Stub::start(|_| http("200 OK", "ok"));
+    let pool = pool(8, LONG, LONG);
+    let backend = backend(&pool, &stub);
+    on_runtime(async {
+        for ready in [false, true] {
+            if ready {
+                assert_eq!(attempt(&pool, &backend, LONG).await.outcome, Outcome::Ok);
+                tokio::time::sleep(SETTLED).await;
+            }
+            let before = stub.requests().len();
+            let (_call_off, called_off) = oneshot::channel();
+            let (now, until) = (Instant::now(), Instant::now() + LONG);
+            let order = Order { number: 1, until, begin_by: now, called_off };
+            let ended = lanespan_gateway::backend::attempt(&pool, &whole(), &backend, &post(), order).await;
+            assert_eq!(ended.outcome, Outcome::Moot, "its backend is not to blame");
+            assert_eq!(stub.requests().len(), before, "nothing was written");
+        }
+    });
+}
+
+#[test]
+fn an_answer_without_a_length_is_no_whole_answer_whether_it_is_reset_or_ends() {
+    for reset in [true, false] {
+        let stub = Stub::start(move |_| {
+            Reply::Write(Box::new(move |stream| {
+                stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf of it").expect("it reads");
+                if reset {
+                    let socket = socket2::SockRef::from(&*stream);
+                    socket.set_linger(Some(Duration::ZERO)).expect("a socket");
+                }
+                stream.shutdown(std::net::Shutdown::Both).expect("it is open");
+            }))
+        });
+        let pool = pool(8, LONG, LONG);
+        let ended = on_runtime(attempt(&pool, &backend(&pool, &stub), LONG));
+        assert_eq!((ended.outcome, body(&ended)), (Outcome::Reset, None), "reset {reset}");
+    }
+}
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -331,8 +331,8 @@
 /// What a gateway does.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send an attempt, to be given up at that time.
-    Send(RequestId, ServerId, Micros),
+    /// Send an attempt, to be given up at the first time, and to be begun by the second one or not at all.
+    Send(RequestId, ServerId, Micros, Micros),
     /// Final answer: refused, with advice when to come back.
     Refuse(RequestId, Option<Micros>),
     /// Final answer: failed.
--- a/crates/policy/src/rules/attempts.rs
+++ b/crates/policy/src/rules/attempts.rs
@@ -52,6 +52,10 @@
             && self.fail_share < CALM_SHARE;
         let early = r.arrived + class.aim.times(1.0 - SPARE_PART);
         let until = if again && early > now + class.aim.times(SPARE_PART) { early } else { r.a.deadline };
+        // A connection may take its time to come up: a repeat is begun while the first attempt is remembered.
+        let first = r.attempts.iter().filter(|a| a.out || a.may_have_run).map(|a| a.sent).min();
+        let first = first.filter(|_| class.effect == Effect::Keyed);
+        let begin_by = first.map_or(r.a.deadline, |at| at + class.window - self.set.tick - self.set.tick);
         r.attempts.push(Attempt { server, sent: now, out: true, may_have_run: false, bound: false });
         r.held_since = None;
         r.counted = None;
@@ -63,7 +67,7 @@
             self.out_now += 1.0;
             s.cold_room.level -= units;
         }
-        self.out.push(Action::Send(id, server, until));
+        self.out.push(Action::Send(id, server, until, begin_by));
     }
 
     pub(super) fn serve_held(&mut self) {
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -159,7 +159,7 @@
     counts(out).into_iter().filter(|(_, x)| *x != 0.0).collect()
 }
 pub fn sends(out: &[Action]) -> Vec<(RequestId, ServerId)> {
-    out.iter().filter_map(|a| if let Action::Send(r, s, _) = a { Some((*r, *s)) } else { None }).collect()
+    out.iter().filter_map(|a| if let Action::Send(r, s, ..) = a { Some((*r, *s)) } else { None }).collect()
 }
 pub fn refused(out: &[Action], id: RequestId) -> bool {
     out.iter().any(|a| matches!(a, Action::Refuse(r, _) if *r == id))
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -73,6 +73,27 @@
     assert!(failed(&out, id) && sends(&out).is_empty());
 }
 
+#[test]
+fn a_keyed_repeat_is_begun_within_its_window_however_long_its_connection_takes() {
+    let mut set = settings();
+    set.classes[1].window = Micros(400 * MS);
+    let begin_by = |out: &[Action]| {
+        out.iter().find_map(|a| if let Action::Send(.., by) = a { Some(by.0) } else { None })
+    };
+    let mut rig = Rig::new(set, 8);
+    let started = rig.now;
+    let (id, out) = rig.request(1, 3, 1, 1.0);
+    assert_eq!(begin_by(&out), Some(started + 3 * S), "a first attempt has the client's time");
+    rig.pass(100 * MS);
+    let out = rig.ended(id, 0, sends(&out)[0].1, Outcome::Error);
+    let by = begin_by(&out).expect("it is sent again");
+    assert!(by < started + 400 * MS && by > rig.now, "{by} from {started}");
+    // One that is proved never to have run opens no window.
+    let (id, out) = rig.request(1, 3, 2, 1.0);
+    let out = rig.ended(id, 0, sends(&out)[0].1, Outcome::Full);
+    assert_eq!(begin_by(&out), Some(rig.now + 3 * S));
+}
+
 #[test]
 fn a_safe_request_may_be_refused_with_an_attempt_out() {
     let mut rig = Rig::new(settings(), 1);
--- a/crates/policy/tests/transfers.rs
+++ b/crates/policy/tests/transfers.rs
@@ -90,7 +90,7 @@
         rig.tell(Event::AttemptEnded(end));
     }
     let hits = |rig: &Rig| {
-        rig.done.iter().filter(|a| matches!(a, Action::Send(_, server, _) if *server == ServerId(0))).count()
+        rig.done.iter().filter(|a| matches!(a, Action::Send(_, server, ..) if *server == ServerId(0))).count()
     };
     assert!((1..30).contains(&hits(&rig)), "{} of 200, the last at {last}", hits(&rig));
 }
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -130,7 +130,7 @@
         let name = |s: &ServerId| self.site.servers.get(s).map_or("", String::as_str);
         // Writing to a String cannot fail.
         let _ = match action {
-            Action::Send(r, s, until) => {
+            Action::Send(r, s, until, _) => {
                 writeln!(out, "ROUTE ref={} backend={} abandon_at={}", r.0, name(s), until.0)
             }
             Action::Refuse(r, None) => writeln!(out, "REJECT ref={}", r.0),
