--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,6 +1,7 @@
 //! Attempts at backends, and the outcome of each by what was written.
 
 use super::http::{CallError, Outgoing, Received, Traffic};
+use super::names::{Headers, Names};
 use super::pool::{Backend, NoLink, Pool};
 use super::relay::{Relay, Relays, Sending, Served, Upload};
 use bytes::Bytes;
@@ -13,11 +14,6 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout_at, Instant};
 
-/// How long the client waits; to a backend: how long this gateway does.
-pub const BUDGET: HeaderName = HeaderName::from_static("x-budget-ms");
-const LOAD: HeaderName = HeaderName::from_static("x-load-report");
-const REJECTED: HeaderName = HeaderName::from_static("x-rejected");
-
 /// A client's request as it goes on to backends.
 #[derive(Debug)]
 pub struct Forward {
@@ -29,6 +25,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Payload,
+    /// The deployment's names: the budget, to a backend how long this gateway waits, and what answers carry.
+    pub names: Rc<Names>,
 }
 
 /// The body of a client's request.
@@ -57,7 +55,7 @@
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
         let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
-        request.headers_mut().insert(BUDGET, HeaderValue::from(left));
+        request.headers_mut().insert(&self.names.headers.budget, HeaderValue::from(left));
         request
     }
 }
@@ -102,10 +100,10 @@
 pub struct Order {
     /// Which of its request's attempts it is, from 0.
     pub number: usize,
-    /// It is not begun later than then.
-    pub begin_by: Instant,
     /// It ends by then, unless it carries a long upload.
     pub until: Instant,
+    /// It is not begun later than then.
+    pub begin_by: Instant,
     /// Told when it is called off.
     pub called_off: oneshot::Receiver<()>,
 }
@@ -185,11 +183,12 @@
     (until, begin_by): (Instant, Instant),
     written: &RefCell<Written>,
 ) -> Ended {
+    let here = &request.names.headers;
     loop {
         let mut lease = match pool.checkout(backend, until.min(begin_by)).await {
+            Ok(lease) => lease,
             // A repeat whose time ended while a connection came up says nothing of its backend.
             Err(_) if begin_by < until && Instant::now() >= begin_by => return Outcome::Moot.into(),
-            Ok(lease) => lease,
             Err(why) => return outcome_without(why).into(),
         };
         // Guards against sending to a backend that began to drain while the connection came up, and against a
@@ -224,7 +223,7 @@
         };
         match received {
             Ok(Received::Whole(response)) => {
-                let ended = outcome_of(response.map(Served::Whole));
+                let ended = outcome_of(response.map(Served::Whole), here);
                 match ended.outcome {
                     Outcome::Ok => pool.served(backend),
                     Outcome::Full => pool.turned_away(backend),
@@ -240,7 +239,7 @@
                 let (head, rest) = response.into_parts();
                 // An answer other than a 200 is not passed on: there is no use in its rest.
                 let Some(set) = set.filter(|_| head.status == StatusCode::OK) else {
-                    return outcome_of(Response::from_parts(head, Served::Whole(Bytes::new())));
+                    return outcome_of(Response::from_parts(head, Served::Whole(Bytes::new())), here);
                 };
                 let since = Instant::now();
                 let room = timeout_at(until.min(since + set.wait), relays.room(set.stream())).await;
@@ -249,7 +248,7 @@
                 let (told, over) = oneshot::channel();
                 let whole = !written.borrow().in_part();
                 let relay = Relay::new(held, lease, rest, whole, told, room);
-                let ended = outcome_of(Response::from_parts(head, Served::Long(Box::new(relay))));
+                let ended = outcome_of(Response::from_parts(head, Served::Long(Box::new(relay))), here);
                 return Ended { waited, over: Some(over), ..ended };
             }
             // Guards against a pooled connection that was closed just before it was written to.
@@ -280,10 +279,10 @@
 
 /// What an answer says. Guards against taking a bare 503 or 504 for a turn-away: only the header proves that
 /// the request never ran.
-fn outcome_of(response: Response<Served>) -> Ended {
-    let rejected = response.headers().get(REJECTED).is_some_and(|v| v.as_bytes() == b"1");
+fn outcome_of(response: Response<Served>, here: &Headers) -> Ended {
+    let rejected = response.headers().get(&here.rejected).is_some_and(|v| v.as_bytes() == b"1");
     let report =
-        response.headers().get(LOAD).and_then(|v| v.to_str().ok()).map_or_else(Report::default, load);
+        response.headers().get(&here.load).and_then(|v| v.to_str().ok()).map_or_else(Report::default, load);
     let (outcome, body) = match response.status() {
         StatusCode::OK => (Outcome::Ok, Some(response.into_body())),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => (Outcome::Full, None),
--- a/crates/gateway/src/backend/tests.rs
+++ b/crates/gateway/src/backend/tests.rs
@@ -2,8 +2,9 @@
 
 fn report(text: &'static str) -> Report {
     let mut response = Response::new(Served::Whole(Bytes::new()));
-    response.headers_mut().insert(LOAD, HeaderValue::from_static(text));
-    outcome_of(response).report
+    let names = Names::default();
+    response.headers_mut().insert(&names.headers.load, HeaderValue::from_static(text));
+    outcome_of(response, &names.headers).report
 }
 
 #[test]
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,8 +3,10 @@
 pub mod document;
 pub mod plan;
 pub(crate) mod problems;
+mod site;
 
 use super::config_error::ConfigError;
+use super::names::Names;
 use super::pool::{Around, PoolSettings};
 use super::relay::StreamSettings;
 use document::{AdminSection, Document, FleetSection};
@@ -16,7 +18,7 @@
 use std::fmt;
 use std::io::Read;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -97,7 +99,7 @@
 /// A file is read up to this length. Guards memory against one that is no configuration.
 const LONGEST: u64 = 32 << 20;
 /// What SIGHUP can't change; named in the log where a new file asks for it.
-const FIXED: [&str; 6] = ["name", "listen", "limits", "admin", "fleet", "settings"];
+const FIXED: [&str; 7] = ["name", "listen", "limits", "names", "admin", "fleet", "settings"];
 
 /// Where a configuration is read, and what the environment says of it, which goes before the file.
 #[derive(Debug, Clone, Default)]
@@ -110,12 +112,14 @@
     pub listen: Option<SocketAddr>,
     /// NODE_DISCOVERY.
     pub discovery: Option<SocketAddr>,
+    /// LANESPAN_NAMES.
+    pub names: Option<PathBuf>,
 }
 
 impl Source {
     /// Reads the file and all that it says.
     pub fn read(&self) -> Result<Config, ConfigError> {
-        let read = self.text().and_then(|text| {
+        let read = text(&self.path).and_then(|text| {
             let value = match self.path.extension().is_some_and(|suffix| suffix == "toml") {
                 true => toml::from_str::<Value>(&text).map_err(|e| one_line(&e.to_string())),
                 false => serde_json::from_str::<Value>(&text).map_err(|e| e.to_string()),
@@ -130,19 +134,34 @@
         Source { discovery: None, ..self.clone() }.read()
     }
 
-    fn text(&self) -> Result<String, ConfigError> {
-        let told = |error: std::io::Error| ConfigError::new(error.to_string());
-        let mut bytes = Vec::new();
-        let file = std::fs::File::open(&self.path).map_err(told)?;
-        file.take(LONGEST + 1).read_to_end(&mut bytes).map_err(told)?;
-        if bytes.len() as u64 > LONGEST {
-            return Err(ConfigError::new(format!("longer than {} MiB", LONGEST >> 20)));
-        }
-        let text = String::from_utf8(bytes).map_err(|_| ConfigError::new("not UTF-8".into()))?;
-        match text.trim().is_empty() {
-            true => Err(ConfigError::new("empty".into())),
-            false => Ok(text),
-        }
+    /// The names that the deployment gives to what goes over its sockets.
+    fn names(&self, told: &Value) -> Result<Names, ConfigError> {
+        let Some(path) = &self.names else {
+            // One that is no section is told with the others.
+            let section = told.get("names").filter(|names| !names.is_null() && !names.is_array());
+            return section.map_or_else(|| Ok(Names::default()), Names::of);
+        };
+        let read = text(path).and_then(|text| {
+            let value = serde_json::from_str(&text).map_err(|e| ConfigError::new(e.to_string()))?;
+            Names::of(&value)
+        });
+        read.map_err(|error| error.at(&path.display().to_string()))
+    }
+}
+
+/// A file's text.
+fn text(path: &Path) -> Result<String, ConfigError> {
+    let told = |error: std::io::Error| ConfigError::new(error.to_string());
+    let mut bytes = Vec::new();
+    let file = std::fs::File::open(path).map_err(told)?;
+    file.take(LONGEST + 1).read_to_end(&mut bytes).map_err(told)?;
+    if bytes.len() as u64 > LONGEST {
+        return Err(ConfigError::new(format!("longer than {} MiB", LONGEST >> 20)));
+    }
+    let text = String::from_utf8(bytes).map_err(|_| ConfigError::new("not UTF-8".into()))?;
+    match text.trim().is_empty() {
+        true => Err(ConfigError::new("empty".into())),
+        false => Ok(text),
     }
 }
 
@@ -169,6 +188,8 @@
     pub(crate) dial_timeout: Duration,
     pub(crate) admin: Option<AdminSection>,
     pub(crate) fleet: Option<FleetSettings>,
+    /// What the deployment calls things on its sockets.
+    pub(crate) names: Names,
     /// As it stood in the file.
     told: Value,
 }
@@ -368,7 +389,16 @@
 
     /// Reads a configuration and tells all that is wrong with it.
     pub fn of(told: Value, source: &Source) -> Result<Config, ConfigError> {
-        let (document, mut problems) = problems::read::<Document>(told.clone(), &document::SECTIONS);
+        let (names, mut wrong) = match source.names(&told) {
+            Ok(names) => (names, Vec::new()),
+            Err(error) => (Names::default(), error.lines().to_vec()),
+        };
+        let mut here = told.clone();
+        if let Some(known) = here.get_mut("known") {
+            *known = names.list(known.take());
+        }
+        let (document, mut problems) = problems::read::<Document>(here, &document::SECTIONS);
+        problems.append(&mut wrong);
         let Some(document) = document else { return Err(problems.into()) };
         let Document { limits, counter, known, settings, .. } = document;
         let seed = match document.seed.map(|seed| u64::from_str_radix(&seed, 16).map_err(|_| seed)) {
@@ -429,6 +459,7 @@
                 dial_timeout,
                 admin: document.admin,
                 fleet,
+                names,
                 told,
             }),
             _ => Err(problems.into()),
@@ -460,7 +491,7 @@
     fn read(settings: &Value, told: &mut Vec<String>) -> Option<Place> {
         let mut names = BTreeMap::new();
         flatten("", settings, &mut names);
-        let mut left_out = Vec::new();
+        let mut left_out = site::put_right(&mut names, told);
         while told.len() < problems::MOST {
             let pairs = names.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
             let error = match Place::of(&Fields { place: "settings".into(), message: "settings", pairs }) {
--- a/crates/gateway/src/config/document.rs
+++ b/crates/gateway/src/config/document.rs
@@ -73,6 +73,10 @@
     /// The list of backends as it was last known, in discovery's form.
     #[schemars(with = "Value")]
     pub known: MemberList,
+    /// What the deployment calls headers, paths, fields and states, in the platform's form. A file that LANESPAN_NAMES
+    /// names goes before it; absent: the names of the protocol.
+    #[schemars(with = "Value")]
+    pub names: Value,
     /// The connections to backends.
     pub pool: PoolSection,
     /// Long answers and uploads. Absent: bodies are collected whole, 64 KiB at most.
@@ -86,7 +90,8 @@
 }
 
 /// The keys of the sections.
-pub const SECTIONS: [&str; 7] = ["limits", "known", "pool", "streaming", "admin", "fleet", "settings"];
+pub const SECTIONS: [&str; 8] =
+    ["limits", "known", "names", "pool", "streaming", "admin", "fleet", "settings"];
 
 /// What the machine bears.
 #[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema)]
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -1,6 +1,7 @@
 //! The shared counter: calls over a few connections, each made once, their answers told in order.
 
 use super::http::{CallError, Connection};
+use super::names::{CounterCall, Names};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{header, Method, Request, StatusCode};
@@ -35,6 +36,7 @@
 pub struct Counter {
     address: SocketAddr,
     timeout: Duration,
+    call: CounterCall,
     idle: RefCell<Vec<Connection>>,
     lines: Semaphore,
 }
@@ -42,7 +44,13 @@
 impl Counter {
     /// Calls go over at most so many connections and are given up after `timeout`.
     pub fn new(address: SocketAddr, timeout: Duration, connections: usize) -> Counter {
-        Counter { address, timeout, idle: RefCell::default(), lines: Semaphore::new(connections) }
+        let (call, lines) = (Names::default().counter, Semaphore::new(connections));
+        Counter { address, timeout, call, idle: RefCell::default(), lines }
+    }
+
+    /// The same, asked by this deployment's names.
+    pub fn asked(self, call: CounterCall) -> Counter {
+        Counter { call, ..self }
     }
 
     /// Where it is.
@@ -103,8 +111,9 @@
         let life_ms = (life.0 / 1000).max(1);
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.method_mut() = Method::POST;
-        // Digits and signs alone: always a valid URI.
-        if let Ok(uri) = format!("/v1/count/{}?add={amount}&ttl_ms={life_ms}", name.0).parse() {
+        // Plain letters, digits and signs alone: always a valid URI.
+        let CounterCall { path, add, life } = &self.call;
+        if let Ok(uri) = format!("{path}/{}?{add}={amount}&{life}={life_ms}", name.0).parse() {
             *request.uri_mut() = uri;
         }
         if let Ok(host) = self.address.to_string().parse() {
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -3,20 +3,26 @@
 use super::backoff::Backoff;
 use super::config::{MemberList, Upstreams};
 use super::driver::{Inbox, Input};
-use super::http::Connection;
+use super::http::{Connection, Outgoing, Received};
+use super::names::{Discovery, Names};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{header, Request, StatusCode};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
-/// How long a watch waits for news.
-const HOLD: Duration = Duration::from_secs(20);
+/// How long a watch waits for news. With the patience behind it, a watch that has fallen silent is found within
+/// 5 s; what it misses counts as told 6 s after it fell silent. A watch goes on over any number of calls.
+const HOLD: Duration = Duration::from_secs(3);
 /// How long an answer may take beyond what it was asked to wait.
 const PATIENCE: Duration = Duration::from_secs(2);
+/// The longest list that is read, about 10,000 entries. Guards memory; a list may come indented, and one of a
+/// large fleet is longer than any other message.
+const LONGEST_LIST: usize = 4 << 20;
 
 /// Watches the list for ever, telling the driver what is new: from the version held, or after fetching the whole
 /// list. A watch goes on if its next call comes within 200 ms, so only a first call and one after a failure wait.
@@ -25,6 +31,7 @@
     inbox: Inbox,
     mut backoff: Backoff,
     held: Option<u64>,
+    names: Rc<Names>,
 ) {
     let mut address = upstreams.borrow_and_update().discovery;
     let mut revision = held;
@@ -46,7 +53,7 @@
             }
             told = async {
                 sleep(wait).await;
-                next(address, &mut connection, revision).await
+                next(address, &mut connection, revision, &names).await
             } => told,
         };
         match told {
@@ -85,12 +92,14 @@
     address: SocketAddr,
     connection: &mut Option<Connection>,
     revision: Option<u64>,
+    names: &Names,
 ) -> Result<MemberList, &'static str> {
+    let Discovery { path, from, hold } = &names.discovery;
     let path = match revision {
-        None => "/catalog/members".to_string(),
-        Some(revision) => format!("/catalog/members?from={revision}&hold_ms={}", HOLD.as_millis()),
+        None => path.clone(),
+        Some(revision) => format!("{path}?{from}={revision}&{hold}={}", HOLD.as_millis()),
     };
-    let mut request = Request::new(Full::new(Bytes::new()));
+    let mut request = Request::new(Outgoing::Whole(Full::new(Bytes::new())));
     *request.uri_mut() = path.parse().map_err(|_| "no such path")?;
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(header::HOST, host);
@@ -101,10 +110,18 @@
     }
     let Some(line) = connection.as_mut() else { return Err("no connection") };
     let hold = if revision.is_some() { HOLD } else { Duration::ZERO };
-    let answer = timeout(hold + PATIENCE, line.call(request)).await;
-    let answer = answer.map_err(|_| "no answer in time")?.map_err(|_| "the connection broke")?;
+    let answering = async {
+        let begun = line.begin(request).await?;
+        line.read_up_to(begun, LONGEST_LIST).await
+    };
+    let answer = timeout(hold + PATIENCE, answering).await;
+    let answer = match answer.map_err(|_| "no answer in time")?.map_err(|_| "the connection broke")? {
+        Received::Whole(answer) => answer,
+        Received::Longer(..) => return Err("a list longer than 4 MiB"),
+    };
     if answer.status() != StatusCode::OK {
         return Err("not answered with 200");
     }
-    serde_json::from_slice(answer.body()).map_err(|_| "not a list of members")
+    let list = serde_json::from_slice(answer.body()).map_err(|_| "not JSON")?;
+    serde_json::from_value(names.list(list)).map_err(|_| "not a list of members")
 }
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -218,14 +218,27 @@
     /// A driver that knows nothing yet but the configuration.
     pub fn new(config: Config, clock: Clock, ready: Rc<Cell<bool>>) -> Result<Driver, ConfigError> {
         let Config {
-            site, counter, sockets, seed, known, dial_timeout, pool, streaming, memory, admin, ..
+            site,
+            counter,
+            sockets,
+            seed,
+            known,
+            dial_timeout,
+            pool,
+            streaming,
+            memory,
+            admin,
+            names,
+            ..
         } = config;
         let metrics = admin.map(|_| Metrics::new(&site));
         let must_subscribe = site.settings.must_subscribe;
         let gateway = Gateway::new(seed, site.settings.clone()).map_err(ConfigError::from)?;
         let (inbox, inputs) = mpsc::channel(INBOX);
         let (timeout, lines) = (duration(site.settings.count_timeout), sockets.counter);
-        let counter_at = Box::new(move |address| Rc::new(Counter::new(address, timeout, lines)));
+        let call = names.counter.clone();
+        let counter_at =
+            Box::new(move |address| Rc::new(Counter::new(address, timeout, lines).asked(call.clone())));
         let mut driver = Driver {
             gateway,
             clock,
--- a/crates/gateway/src/driver/tests.rs
+++ b/crates/gateway/src/driver/tests.rs
@@ -44,7 +44,7 @@
     let order = backend::Order { number, until, begin_by: until, called_off };
     let (method, uri) = (Method::GET, "/".parse().expect("a path"));
     let body = Payload::Whole(bytes::Bytes::new());
-    let forward = Forward { method, uri, headers: HeaderMap::new(), body };
+    let forward = Forward { method, uri, headers: HeaderMap::new(), body, names: Rc::default() };
     (attempt(&driver.pool, &driver.relays, &backend, &forward, order).await, Attempt::new(Some(call_off)))
 }
 
@@ -107,7 +107,7 @@
         }
         let (method, uri) = (Method::GET, "/".parse().expect("a path"));
         let body = Payload::Whole(bytes::Bytes::new());
-        let forward = Rc::new(Forward { method, uri, headers: HeaderMap::new(), body });
+        let forward = Rc::new(Forward { method, uri, headers: HeaderMap::new(), body, names: Rc::default() });
         let came = (ClassId(0), PlanId(0), Micros(0));
         driver.requests.insert(id, Open { reply: Some(reply), forward, attempts, came });
         assert!(copies.iter().all(|copy| matches!(copy.body, Some(Served::Long(_)))));
--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -1,10 +1,7 @@
 //! The framing of clients' requests, read beside hyper, which drops a Content-Length that stands with a
 //! Transfer-Encoding: a chunked request is believed only if it was seen to name no length as well.
 
-use super::tapped::Tap;
-use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::rc::Rc;
 
 /// As much of a header line as is kept: its name and a length.
 const LINE: usize = 64;
@@ -110,12 +107,5 @@
     }
 }
 
-impl Tap for Option<Rc<RefCell<Heads>>> {
-    fn read(&self, bytes: &[u8]) {
-        self.iter().for_each(|heads| heads.borrow_mut().read(bytes));
-    }
-    fn wrote(&self, _bytes: usize) {}
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod framing;
 pub mod http;
 mod metrics;
+pub mod names;
 pub mod plan;
 pub mod pool;
 pub mod relay;
@@ -24,11 +25,12 @@
 use driver::{Clock, Driver};
 use fleet::{Fleet, Told};
 use plan::Plan;
-use server::Front;
+use server::{Front, TimeIsUp};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{watch, Notify, Semaphore};
+use tokio::sync::{watch, Semaphore};
 use tracing::info;
 
 /// The part of the memory that clients' bodies may fill.
@@ -83,8 +85,10 @@
     // Where the list must be asked for, each call is work for a service that all gateways share.
     let asks = config.site.settings.must_subscribe;
     let backoff = Backoff::new(config.seed, if asks { gateways } else { 0 });
+    let names = Rc::new(config.names.clone());
     let held = (asks && !config.known.members.is_empty()).then_some(config.known.revision);
     let bodies = config.memory / BODIES_PART;
+    let longest = config.site.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
     let admin = config.admin.clone();
     let (joins, seed) = (config.fleet.clone(), config.seed);
     let mut driver = Driver::new(config, clock, ready.clone()).map_err(RunError::Config)?;
@@ -119,7 +123,13 @@
     }
     let address = listener.local_addr().map_err(|e| RunError::Listen(listen, e))?;
     info!(name, %address, "listening");
-    tokio::task::spawn_local(discovery::watch(upstreams.clone(), inbox.clone(), backoff, held));
+    tokio::task::spawn_local(discovery::watch(
+        upstreams.clone(),
+        inbox.clone(),
+        backoff,
+        held,
+        names.clone(),
+    ));
     tokio::task::spawn_local(driver::follow(upstreams, inbox.clone(), pool.clone(), relays.clone()));
     let mut stop = stopping.clone();
     tokio::task::spawn_local(async move {
@@ -143,7 +153,9 @@
         stopping,
         relays,
         retry_after,
-        time_is_up: Notify::new(),
+        names,
+        last_answer: server::last_answer(Duration::from_micros(longest.0)),
+        time_is_up: TimeIsUp::default(),
         fleet: fleet.clone(),
     };
     // Guards against living on without a driver, taking requests that nobody decides.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -7,6 +7,7 @@
 use crate::driver::{Clock, Inbox};
 use crate::fleet::Fleet;
 use crate::http::send_at_once;
+use crate::names::Names;
 use crate::relay::Relays;
 use crate::tapped::Tapped;
 use answering::respond;
@@ -15,15 +16,16 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use lanespan_policy::api::*;
-use line::{Line, Lines, Phase};
+use line::{Followed, Line, Lines, Phase};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::future::poll_fn;
+use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncRead as _, ReadBuf};
+use tokio::io::{AsyncRead as _, AsyncWrite as _, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify, Semaphore};
 use tokio::time::{interval, sleep, sleep_until, timeout, Instant};
@@ -38,13 +40,15 @@
 const MAX_HEAD: usize = 16 * 1024;
 /// How long after SIGTERM new connections are taken; they go on coming for 0.4 s.
 const LAST_CALL: Duration = Duration::from_millis(600);
-/// What is still open so long after SIGTERM is answered as failed. SIGKILL comes 3.7 s on at the earliest, also
-/// where a class may wait for longer.
-const LAST_ANSWER: Duration = Duration::from_millis(3400);
+/// SIGKILL comes no earlier than the longest deadline, taken as so much where it is longer, and 0.7 s after SIGTERM.
+const LONGEST_WAITED_FOR: Duration = Duration::from_secs(3);
+/// What is still open so long after that deadline is answered as failed.
+const LAST_ANSWER: Duration = Duration::from_millis(400);
 /// The time that these answers have to go out.
 const LAST_WORD: Duration = Duration::from_millis(200);
-/// How long, and for how many bytes, a client that is answered before its upload ended is still read. Guards
-/// against a reset that takes the answer away, as one follows where a socket is closed with bytes unread.
+/// How long, and for how many bytes, a connection is still read that this gateway has ended, its writing side closed.
+/// Guards against a reset that takes the last answer away, as one follows where a socket is closed with bytes
+/// unread. What is read then is sent on by nobody.
 const LINGER: Duration = Duration::from_secs(2);
 const LINGER_BYTES: usize = 256 * 1024;
 
@@ -76,8 +80,12 @@
     pub relays: Rc<Relays>,
     /// The longest wait that a refused client may be told; `None`: it is told none.
     pub retry_after: Option<Micros>,
+    /// What the deployment calls things on its sockets.
+    pub names: Rc<Names>,
+    /// How long after SIGTERM a request may wait for its backend's answer.
+    pub last_answer: Duration,
     /// Told when a stopping gateway can wait no longer for the answers of its backends.
-    pub time_is_up: Notify,
+    pub time_is_up: TimeIsUp,
     /// The fleet, where this gateway knows of others.
     pub fleet: Option<Rc<Fleet>>,
 }
@@ -88,6 +96,31 @@
     }
 }
 
+/// How long after SIGTERM a request may wait for its backend's answer, where a client waits for no longer than this.
+pub fn last_answer(longest: Duration) -> Duration {
+    longest.min(LONGEST_WAITED_FOR) + LAST_ANSWER
+}
+
+/// A stopping gateway can wait no longer. Who comes to wait after that is told as well.
+#[derive(Default)]
+pub struct TimeIsUp {
+    told: Cell<bool>,
+    waiting: Notify,
+}
+
+impl TimeIsUp {
+    fn tell(&self) {
+        self.told.set(true);
+        self.waiting.notify_waiters();
+    }
+    async fn wait(&self) {
+        // Between the look and the wait nothing else runs.
+        if !self.told.get() {
+            self.waiting.notified().await;
+        }
+    }
+}
+
 /// Takes clients until SIGTERM, answers what was taken, and returns.
 pub async fn serve(listener: TcpListener, front: Rc<Front>, connections: usize) {
     let lines = Rc::new(Lines::new(connections, front.relays.clone()));
@@ -127,11 +160,11 @@
     }
     drop(listener);
     lines.all().into_iter().for_each(|line| line.close());
-    let left = LAST_ANSWER.saturating_sub(last_call.map_or(Duration::ZERO, |at| at.elapsed()));
+    let left = front.last_answer.saturating_sub(last_call.map_or(Duration::ZERO, |at| at.elapsed()));
     if timeout(left, lines.all_ended()).await.is_err() {
         // Guards against ending with requests that never had an answer: a class may wait for longer than a
         // gateway that is told to stop has left.
-        front.time_is_up.notify_waiters();
+        front.time_is_up.tell();
         if timeout(LAST_WORD, lines.all_ended()).await.is_err() {
             warn!("some connections were still open at the end");
         }
@@ -159,7 +192,7 @@
         async move { Ok::<_, Infallible>(respond(request, &front, &line).await) }
     });
     let stream = Rc::new(RefCell::new(stream));
-    let followed = TokioIo::new(Tapped::new(stream.clone(), line.heads.clone()));
+    let followed = TokioIo::new(Tapped::new(stream.clone(), Followed(line.clone())));
     let connection = http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(followed, service);
     let mut connection = std::pin::pin!(connection);
     let done = loop {
@@ -170,34 +203,50 @@
                 if line.cut.get() {
                     return;
                 }
-                // It carries on with what it is at.
-                connection.as_mut().graceful_shutdown();
+                // It carries on with what it is at. Guards against closing on half a request, which hyper takes
+                // for none on a connection that has had an answer: it is answered with the end of the connection.
+                if !line.begun.get() {
+                    connection.as_mut().graceful_shutdown();
+                }
             }
         }
     };
-    if let Err(error) = done {
+    let broken = done.is_err_and(|error| {
         debug!(%error, "a client's connection ended");
-    } else if line.lingers.get() {
-        // Its writing side is closed by now.
-        tokio::select! {
-            () = line.told.notified() => {}
-            _ = timeout(LINGER, linger(&stream)) => {}
+        !error.is_parse()
+    });
+    if broken || !line.answered.get() {
+        return;
+    }
+    line.turn(Phase::Lingering);
+    // What could not be read was answered with the writing side left open.
+    let closing = async {
+        poll_fn(|cx| Pin::new(&mut *stream.borrow_mut()).poll_shutdown(cx)).await?;
+        linger(&stream).await
+    };
+    let cut = async {
+        while !line.cut.get() {
+            line.told.notified().await;
         }
+    };
+    tokio::select! {
+        () = cut => {}
+        _ = timeout(LINGER, closing) => {}
     }
 }
 
 /// Reads a little of what is not wanted, to the client's end.
-async fn linger(stream: &RefCell<TcpStream>) {
+async fn linger(stream: &RefCell<TcpStream>) -> io::Result<()> {
     let (mut bytes, mut left) = ([0; 4096], LINGER_BYTES);
     while left > 0 {
         let mut into = ReadBuf::new(&mut bytes);
-        let read = poll_fn(|cx| Pin::new(&mut *stream.borrow_mut()).poll_read(cx, &mut into)).await;
+        poll_fn(|cx| Pin::new(&mut *stream.borrow_mut()).poll_read(cx, &mut into)).await?;
         match into.filled().len() {
-            _ if read.is_err() => return,
-            0 => return,
+            0 => return Ok(()),
             some => left = left.saturating_sub(some),
         }
     }
+    Ok(())
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/server/answering.rs
+++ b/crates/gateway/src/server/answering.rs
@@ -33,22 +33,18 @@
 ) -> Response<Body> {
     line.turn(Phase::Receiving);
     let lengths = line.heads.as_ref().and_then(|heads| heads.borrow_mut().next());
-    let sends_more = line.heads.is_some() && !request.body().is_end_stream();
     let mut response = match request.uri().path() {
-        "/_health" => match front.ready.get() && !front.is_stopping() {
+        ready if ready == front.names.ready => match front.ready.get() && !front.is_stopping() {
             true => plain(StatusCode::OK, "ready\n"),
             false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         },
         "/api" => match take(request, lengths, front, line).await {
             Ok(answer) => answer,
-            Err((status, problem)) => {
-                line.lingers.set(sends_more);
-                last(plain(status, problem))
-            }
+            Err((status, problem)) => last(plain(status, problem)),
         },
         _ => last(plain(StatusCode::NOT_FOUND, "no such path\n")),
     };
-    if front.is_stopping() {
+    if front.is_stopping() || line.is_closing() {
         response = last(response);
     }
     if !matches!(response.body(), Answered::Long(..)) {
@@ -108,7 +104,7 @@
     pub(super) fn new(front: &Rc<Front>, call: HeaderValue) -> Result<OpenCall, Malformed> {
         match front.open.borrow_mut().insert(call.clone()) {
             true => Ok(OpenCall { front: front.clone(), call }),
-            false => Err((StatusCode::CONFLICT, "X-Call-Id: a request of that name is open\n")),
+            false => Err((StatusCode::CONFLICT, "the call: a request of that name is open\n")),
         }
     }
 }
@@ -149,20 +145,18 @@
     let (hold, bytes) = short.map_or((set.hold, set.stream()), |length| (length as usize, length as usize));
     let budget = Duration::from_micros(asked.budget.0);
     let room = timeout(set.wait.min(budget), front.relays.room(bytes)).await;
-    let Ok(Some(room)) = room else { return Ok(no_room(front, line)) };
+    let Ok(Some(room)) = room else { return Ok(no_room(front)) };
     let source = Box::pin(body.map_err(io::Error::other));
     let uploading = Uploading::new(line, Upload::new(source, hold, budget, room));
     let payload = Payload::Upload(uploading.upload.clone());
     let response = decided(head, payload, asked, open, front, line).await;
     let whole = uploading.upload.is_whole();
-    line.lingers.set(!whole);
     // What follows chunks is not followed, so would not be believed.
     Ok(if whole && lengths != Some(Lengths::Chunked) { response } else { last(response) })
 }
 
 /// Refuses an upload for want of memory before anybody has heard of it.
-pub(super) fn no_room(front: &Front, line: &Line) -> Response<Body> {
-    line.lingers.set(true);
+pub(super) fn no_room(front: &Front) -> Response<Body> {
     let mut response = last(plain(StatusCode::SERVICE_UNAVAILABLE, "no room for the body\n"));
     let wait = Micros(NO_ROOM_WAIT.as_micros() as u64);
     advise(&mut response, front.retry_after.map(|longest| longest.min(wait)));
@@ -190,7 +184,8 @@
     let id = RequestId(front.last.replace(front.last.get() + 1) + 1);
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
-    let forward = Forward { method: head.method, uri: head.uri, headers, body };
+    let (method, uri, names) = (head.method, head.uri, front.names.clone());
+    let forward = Forward { method, uri, headers, body, names };
     let (reply, answer) = oneshot::channel();
     let taken = Taken { arrival: Arrival { id, deadline, ..asked.arrival }, at, forward, reply };
     let mut watch = Watch { inbox: &front.inbox, id, answered: false };
@@ -202,7 +197,7 @@
             answer.unwrap_or(Answer::Failed)
         }
         // The driver hears that nobody waits for it any more, and ends its attempts.
-        () = front.time_is_up.notified(), if told => Answer::Failed,
+        () = front.time_is_up.wait(), if told => Answer::Failed,
         else => Answer::Failed,
     };
     match answer {
--- a/crates/gateway/src/server/asked.rs
+++ b/crates/gateway/src/server/asked.rs
@@ -2,8 +2,8 @@
 
 use super::answering::Malformed;
 use super::Front;
-use crate::backend::BUDGET;
 use crate::framing::Lengths;
+use crate::names::Headers;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
@@ -11,18 +11,15 @@
 
 /// Customers have numbers below this.
 pub(super) const CUSTOMERS: u64 = 1 << 33;
-/// Headers that a request has once.
-pub(super) const ONCE: [&str; 9] = [
-    "content-length",
-    "host",
-    "idempotency-key",
-    "x-again",
-    "x-budget-ms",
-    "x-call-class",
-    "x-call-id",
-    "x-plan",
-    "x-quota",
-];
+/// Headers that a request has once, beside those that the deployment names.
+const ONCE: [HeaderName; 3] =
+    [header::CONTENT_LENGTH, header::HOST, HeaderName::from_static("idempotency-key")];
+
+/// Whether a request has this header once.
+fn is_once(name: &HeaderName, here: &Headers) -> bool {
+    let Headers { call, class, plan, budget, again, quota, .. } = here;
+    ONCE.contains(name) || [call, class, plan, budget, again, quota].contains(&name)
+}
 
 /// What a request's head says of it.
 pub(super) struct Asked {
@@ -35,6 +32,7 @@
 impl Asked {
     pub(super) fn read(head: &Parts, lengths: Option<Lengths>, front: &Front) -> Result<Asked, Malformed> {
         let (method, query, headers) = (&head.method, head.uri.query(), &head.headers);
+        let here = &front.names.headers;
         let bad = |problem| (StatusCode::BAD_REQUEST, problem);
         // Guards against a second request hidden in the body, which is there for who goes by the other of two
         // lengths. hyper drops the length of a body that is chunked as well.
@@ -45,26 +43,25 @@
         }
         // Guards against two readings of one request: which of two values counts, nobody says.
         let twice = |name: &HeaderName| headers.get_all(name).iter().nth(1).is_some();
-        if headers.keys_len() < headers.len()
-            && headers.keys().any(|name| ONCE.contains(&name.as_str()) && twice(name))
+        if headers.keys_len() < headers.len() && headers.keys().any(|name| is_once(name, here) && twice(name))
         {
             return Err(bad("a header stands twice\n"));
         }
-        let text = |name: HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
-        let named = |name| text(HeaderName::from_static(name));
-        let (class, effect, longest) = named("x-call-class")
+        let named = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
+        let (class, effect, longest) = named(&here.class)
             .and_then(|class| front.classes.get(class))
-            .ok_or_else(|| bad("X-Call-Class: expected a known class\n"))?;
-        let plan = named("x-plan").and_then(|plan| front.plans.get(plan));
-        let plan = plan.ok_or_else(|| bad("X-Plan: expected a known plan\n"))?;
-        let customer = query.and_then(customer).ok_or_else(|| bad("customer: expected 16 hex digits\n"))?;
-        let budget = text(BUDGET).and_then(|v| v.parse::<u64>().ok());
-        let budget = budget.ok_or_else(|| bad("X-Budget-Ms: expected whole milliseconds\n"))?;
-        let (units, spread, first) = named("x-quota")
+            .ok_or_else(|| bad("the class: expected a known one\n"))?;
+        let plan = named(&here.plan).and_then(|plan| front.plans.get(plan));
+        let plan = plan.ok_or_else(|| bad("the plan: expected a known one\n"))?;
+        let customer = query.and_then(|query| customer(query, &front.names.customer));
+        let customer = customer.ok_or_else(|| bad("the customer: expected 16 hex digits\n"))?;
+        let budget = named(&here.budget).and_then(|v| v.parse::<u64>().ok());
+        let budget = budget.ok_or_else(|| bad("the budget: expected whole milliseconds\n"))?;
+        let (units, spread, first) = named(&here.quota)
             .and_then(|value| quota(value, front.most_units, front.gateways))
-            .ok_or_else(|| bad("X-Quota: expected units, spread and first in their ranges\n"))?;
-        let call = headers.get("x-call-id").filter(|id| !id.is_empty()).cloned();
-        let call = call.ok_or_else(|| bad("X-Call-Id: expected an id\n"))?;
+            .ok_or_else(|| bad("the quota: expected units, spread and first in their ranges\n"))?;
+        let call = headers.get(&here.call).filter(|id| !id.is_empty()).cloned();
+        let call = call.ok_or_else(|| bad("the call: expected an id\n"))?;
         let (wanted, keyed) = match effect {
             Effect::Safe => (Method::GET, false),
             Effect::Keyed => (Method::POST, true),
@@ -83,7 +80,7 @@
             spread,
             sharing: front.fleet.as_ref().map_or(spread, |fleet| fleet.divisor(first, spread)),
             units,
-            resent: named("x-again") == Some("1"),
+            resent: named(&here.again) == Some("1"),
             ..Arrival::default()
         };
         // No client waits longer than its class says.
@@ -92,8 +89,8 @@
     }
 }
 
-pub(super) fn customer(query: &str) -> Option<CustomerId> {
-    let mut named = query.split('&').filter_map(|pair| pair.strip_prefix("customer="));
+pub(super) fn customer(query: &str, key: &str) -> Option<CustomerId> {
+    let mut named = query.split('&').filter_map(|pair| pair.strip_prefix(key));
     let digits = named.next()?;
     let hex = digits.len() == 16 && digits.bytes().all(|b| b.is_ascii_hexdigit()) && named.next().is_none();
     u64::from_str_radix(digits, 16).ok().filter(|id| hex && *id < CUSTOMERS).map(CustomerId)
--- a/crates/gateway/src/server/line.rs
+++ b/crates/gateway/src/server/line.rs
@@ -4,6 +4,7 @@
 use super::{ACCEPT_PAUSE, SWEEP_EVERY};
 use crate::framing::Heads;
 use crate::relay::{Guard, Relays, StreamSettings, Upload};
+use crate::tapped::Tap;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -30,6 +31,8 @@
     Streaming,
     /// Between requests.
     Idle,
+    /// This gateway has ended it and reads what its client still sends.
+    Lingering,
 }
 
 /// A client's connection as those see it who may close it.
@@ -48,12 +51,32 @@
     lagged: Cell<bool>,
     /// What its client sends meanwhile.
     pub(super) upload: RefCell<Option<Rc<Upload>>>,
-    /// Its client may still send what is not wanted any more.
-    pub(super) lingers: Cell<bool>,
+    /// A part of a request came, and the request has not come whole.
+    pub(super) begun: Cell<bool>,
+    /// Something was written to it, which a reset could take away.
+    pub(super) answered: Cell<bool>,
     /// How its requests say how long they are, where that is followed.
     pub(super) heads: Option<Rc<RefCell<Heads>>>,
 }
 
+/// Listens in on a client's connection.
+pub(super) struct Followed(pub(super) Rc<Line>);
+
+impl Tap for Followed {
+    fn read(&self, bytes: &[u8]) {
+        let line = &self.0;
+        line.heads.iter().for_each(|heads| heads.borrow_mut().read(bytes));
+        // A request's time runs from its first byte: half of one holds its connection no longer than the first.
+        if !bytes.is_empty() && matches!(line.phase.get(), Phase::Idle | Phase::Receiving) {
+            line.turn(Phase::Receiving);
+            line.begun.set(true);
+        }
+    }
+    fn wrote(&self, bytes: usize) {
+        self.0.answered.set(self.0.answered.get() || bytes > 0);
+    }
+}
+
 /// When a long answer began to go out, and when its present window did, by then so many bytes moved.
 #[derive(Clone, Copy)]
 pub(super) struct Transfer {
@@ -68,18 +91,24 @@
         let (closing, cut, moved) = (Cell::new(false), Cell::new(false), Cell::new(0));
         let transfer = Transfer { began: Instant::now(), window: Instant::now(), moved: 0 };
         let transfer = Cell::new(transfer);
-        let (lagged, upload, lingers) = (Cell::new(false), RefCell::default(), Cell::new(false));
+        let (lagged, upload, begun, answered) =
+            (Cell::new(false), RefCell::default(), Cell::new(false), Cell::new(false));
         let (told, heads) = (Notify::new(), followed.then(Rc::default));
-        Line { phase, since, closing, cut, told, moved, transfer, lagged, upload, lingers, heads }
+        Line { phase, since, closing, cut, told, moved, transfer, lagged, upload, begun, answered, heads }
     }
     /// A first request's time runs from the opening.
     pub(super) fn turn(&self, phase: Phase) {
         if self.phase.replace(phase) != phase {
             self.since.set(Instant::now());
         }
+        self.begun.set(self.begun.get() && phase == Phase::Receiving);
+    }
+    /// Whether it is to end with the answer to what it is at.
+    pub(super) fn is_closing(&self) -> bool {
+        self.closing.get()
     }
     pub(super) fn close(&self) {
-        if !self.closing.replace(true) {
+        if self.phase.get() != Phase::Lingering && !self.closing.replace(true) {
             self.since.set(Instant::now());
             self.told.notify_one();
         }
@@ -210,12 +239,19 @@
     /// shut others out: the one silent longest gives way, else the one idle longest.
     pub(super) async fn place(&self) {
         while self.open.borrow().len() >= self.most {
-            let mut lines = self.all();
-            lines.retain(|line| !line.closing.get());
-            let longest =
-                |phase, over| lines.iter().filter(|l| l.is(phase, over)).min_by_key(|l| l.since.get());
-            let gives = longest(Phase::Receiving, SILENT).or_else(|| longest(Phase::Idle, Duration::ZERO));
-            gives.into_iter().for_each(|line| line.close());
+            let lines = self.all();
+            let longest = |phase, over| {
+                let fit = lines.iter().filter(|line| line.is(phase, over) && !line.cut.get());
+                let fit = fit.filter(|line| phase == Phase::Lingering || !line.closing.get());
+                fit.min_by_key(|line| line.since.get())
+            };
+            if let Some(line) = longest(Phase::Lingering, SILENT) {
+                line.cut();
+            } else {
+                let gives =
+                    longest(Phase::Receiving, SILENT).or_else(|| longest(Phase::Idle, Duration::ZERO));
+                gives.into_iter().for_each(|line| line.close());
+            }
             // It may have been one that has a request after all: look again then.
             let _ = timeout(ACCEPT_PAUSE, self.ended.notified()).await;
         }
--- a/crates/gateway/tests/backend.rs
+++ b/crates/gateway/tests/backend.rs
@@ -48,7 +48,13 @@
 
 fn post() -> Forward {
     let (method, uri) = (hyper::Method::POST, "/api?customer=1".parse().expect("a path"));
-    Forward { method, uri, headers: hyper::HeaderMap::new(), body: Payload::Whole("hello".into()) }
+    Forward {
+        method,
+        uri,
+        headers: hyper::HeaderMap::new(),
+        body: Payload::Whole("hello".into()),
+        names: Rc::default(),
+    }
 }
 
 /// An attempt that may take so long and is never called off.
--- a/crates/gateway/tests/discovery.rs
+++ b/crates/gateway/tests/discovery.rs
@@ -20,31 +20,221 @@
     head.split(' ').nth(1).expect("a path").to_string()
 }
 
-async fn paths(held: Option<u64>) -> Vec<String> {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+/// A watch on discovery at an address, what it tells, and the way to move it elsewhere.
+fn watching(
+    discovery: std::net::SocketAddr,
+    held: Option<u64>,
+) -> (watch::Sender<Upstreams>, mpsc::Receiver<Input>) {
     let (time, links) = (Duration::from_secs(1), 8);
     let (dial_timeout, conn_idle) = (time, time);
     let around = Around { links, links_most: links, gateways: 1, sockets: 32, dial_timeout, conn_idle };
     let pool = PoolSettings::of(&PoolSection::default(), &around).expect("defaults");
-    let discovery = listener.local_addr().expect("an address");
     let upstreams = Upstreams { discovery, counter: None, pool, streaming: None, file: 0 };
-    let (_keep, upstreams) = watch::channel(upstreams);
-    let (inbox, mut inputs) = mpsc::channel(8);
-    tokio::task::spawn_local(discovery::watch(upstreams, inbox, Backoff::new(1, 0), held));
+    let (moves, upstreams) = watch::channel(upstreams);
+    let (inbox, inputs) = mpsc::channel(8);
+    let names = Default::default();
+    tokio::task::spawn_local(discovery::watch(upstreams, inbox, Backoff::new(1, 0), held, names));
+    (moves, inputs)
+}
+
+async fn listener() -> (TcpListener, std::net::SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    (listener, address)
+}
+
+fn answer(list: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())
+}
+
+/// An empty list of this version.
+fn list(revision: u64, complete: bool) -> String {
+    answer(&format!(r#"{{"revision":{revision},"complete":{complete},"members":[]}}"#))
+}
+
+/// The version of the list that is told next, and how many members it has.
+async fn told(inputs: &mut mpsc::Receiver<Input>) -> (u64, usize) {
+    match inputs.recv().await {
+        Some(Input::Members(list)) => (list.revision, list.members.len()),
+        _ => panic!("a list"),
+    }
+}
+
+async fn paths(held: Option<u64>) -> Vec<String> {
+    let (listener, address) = listener().await;
+    let (_keep, mut inputs) = watching(address, held);
     let (mut stream, _) = listener.accept().await.expect("a connection");
     let mut paths = vec![asked(&mut stream).await];
-    let list = r#"{"revision":9,"complete":true,"members":[]}"#;
-    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
-    stream.write_all(answer.as_bytes()).await.expect("it is open");
-    assert!(matches!(inputs.recv().await, Some(Input::Members(list)) if list.revision == 9));
+    stream.write_all(list(9, true).as_bytes()).await.expect("it is open");
+    assert_eq!(told(&mut inputs).await, (9, 0));
     paths.push(asked(&mut stream).await);
     paths
 }
 
 #[tokio::test(flavor = "current_thread")]
 async fn a_watch_goes_on_from_the_list_that_is_held_and_without_one_all_is_fetched() {
-    let watching = |from| format!("/catalog/members?from={from}&hold_ms=20000");
+    let watching = |from| format!("/catalog/members?from={from}&hold_ms=3000");
     let local = LocalSet::new();
     assert_eq!(local.run_until(paths(Some(7))).await, [watching(7), watching(9)]);
     assert_eq!(local.run_until(paths(None)).await, ["/catalog/members".to_string(), watching(9)]);
 }
+
+/// Plays on paused time, on which a wait in vain ends at once.
+async fn play(playing: impl std::future::Future<Output = ()>) {
+    let local = LocalSet::new();
+    let limited = tokio::time::timeout(Duration::from_secs(120), local.run_until(playing));
+    limited.await.expect("it ends");
+}
+
+/// What a watch misses that has fallen silent counts as told so long afterwards.
+const COUNTS_AS_TOLD: Duration = Duration::from_secs(6);
+
+#[tokio::test(flavor = "current_thread", start_paused = true)]
+async fn a_watch_that_has_fallen_silent_is_opened_anew_before_what_it_misses_counts_as_told() {
+    // At once, after an answer, and in the middle of one.
+    for (answers, part) in [(0, ""), (3, ""), (0, "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"revis")] {
+        play(async move {
+            let (listener, address) = listener().await;
+            let (_keep, mut inputs) = watching(address, Some(7));
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            for revision in 8..8 + answers {
+                asked(&mut stream).await;
+                stream.write_all(list(revision, false).as_bytes()).await.expect("it is open");
+                assert_eq!(told(&mut inputs).await.0, revision);
+            }
+            asked(&mut stream).await;
+            stream.write_all(part.as_bytes()).await.expect("it is open");
+            let silent = tokio::time::Instant::now();
+            let (mut again, _) = listener.accept().await.expect("another connection");
+            let from = format!("from={}&", 7 + answers);
+            assert!(asked(&mut again).await.contains(&from), "from the list that is held");
+            again.write_all(list(40, false).as_bytes()).await.expect("it is open");
+            assert_eq!(told(&mut inputs).await.0, 40);
+            assert!(silent.elapsed() < COUNTS_AS_TOLD, "{:?}", silent.elapsed());
+            drop(stream);
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "current_thread", start_paused = true)]
+async fn a_watch_that_is_reset_or_ends_in_the_middle_of_a_line_is_opened_anew_at_once() {
+    for (part, reset) in
+        [("", false), ("", true), ("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"revis", false)]
+    {
+        play(async move {
+            let (listener, address) = listener().await;
+            let (_keep, mut inputs) = watching(address, Some(7));
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            asked(&mut stream).await;
+            stream.write_all(part.as_bytes()).await.expect("it is open");
+            if reset {
+                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+            }
+            let broken = tokio::time::Instant::now();
+            drop(stream);
+            let (mut again, _) = listener.accept().await.expect("another connection");
+            asked(&mut again).await;
+            again.write_all(list(8, false).as_bytes()).await.expect("it is open");
+            assert_eq!(told(&mut inputs).await.0, 8);
+            assert!(broken.elapsed() < Duration::from_millis(500), "{:?}", broken.elapsed());
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "current_thread", start_paused = true)]
+async fn an_indented_list_of_a_large_fleet_is_read_and_one_without_end_is_not() {
+    play(async {
+        let (listener, address) = listener().await;
+        let (_keep, mut inputs) = watching(address, Some(7));
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let members: Vec<_> = (0..500)
+            .map(|i| {
+                serde_json::json!({"id": format!("s-{i}"), "host_port": "127.0.0.1:8081", "locality": "a",
+                    "flavor": "m", "cell": 0, "phase": "ready", "size": 1.0, "up_since_ms": 0})
+            })
+            .collect();
+        let whole = serde_json::json!({"revision": 8, "complete": true, "members": members});
+        let text = serde_json::to_string_pretty(&whole).expect("JSON");
+        assert!(text.len() > 64 * 1024);
+        asked(&mut stream).await;
+        stream.write_all(answer(&text).as_bytes()).await.expect("it is open");
+        assert_eq!(told(&mut inputs).await, (8, 500));
+        asked(&mut stream).await;
+        let endless = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        stream.write_all(endless.as_bytes()).await.expect("it is open");
+        let chunk = format!("10000\r\n{}\r\n", " ".repeat(1 << 16));
+        let mut sent = 0;
+        while stream.write_all(chunk.as_bytes()).await.is_ok() {
+            sent += 1 << 16;
+            assert!(sent < 64 << 20, "it is cut off");
+        }
+        let (mut again, _) = listener.accept().await.expect("another connection");
+        assert!(asked(&mut again).await.contains("from=8&"), "the list that is held stays");
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "current_thread", start_paused = true)]
+async fn an_older_version_is_not_told_and_a_whole_list_among_changes_is() {
+    play(async {
+        let (listener, address) = listener().await;
+        let (_keep, mut inputs) = watching(address, Some(7));
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        for (said, path) in [
+            (list(9, false), "from=7&"),
+            (list(12, true), "from=9&"),
+            (list(11, false), "from=12&"),
+            (list(12, true), "/catalog/members"),
+            (list(13, false), "from=12&"),
+        ] {
+            assert!(asked(&mut stream).await.contains(path), "{path}");
+            stream.write_all(said.as_bytes()).await.expect("it is open");
+        }
+        for revision in [9, 12, 12, 13] {
+            assert_eq!(told(&mut inputs).await.0, revision);
+        }
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "current_thread", start_paused = true)]
+async fn an_answer_of_the_old_discovery_that_is_under_way_at_a_move_does_not_count() {
+    play(async {
+        let ((old, old_address), (new, new_address)) = (listener().await, listener().await);
+        let (moves, mut inputs) = watching(old_address, Some(7));
+        let (mut stream, _) = old.accept().await.expect("a connection");
+        asked(&mut stream).await;
+        let late = list(8, true);
+        let (first, rest) = late.split_at(late.len() / 2);
+        stream.write_all(first.as_bytes()).await.expect("it is open");
+        moves.send_modify(|upstreams| upstreams.discovery = new_address);
+        let _ = stream.write_all(rest.as_bytes()).await;
+        let (mut moved, _) = new.accept().await.expect("a connection");
+        assert_eq!(asked(&mut moved).await, "/catalog/members", "its versions are numbered anew");
+        moved.write_all(list(3, true).as_bytes()).await.expect("it is open");
+        assert_eq!(told(&mut inputs).await.0, 3);
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "current_thread", start_paused = true)]
+async fn drains_in_the_first_answer_after_discovery_was_down_are_told() {
+    play(async {
+        let (listener, address) = listener().await;
+        drop(listener);
+        let (_keep, mut inputs) = watching(address, Some(7));
+        // It is down for a while, then listens at the same port.
+        tokio::time::sleep(Duration::from_secs(8)).await;
+        let back = tokio::time::Instant::now();
+        let listener = TcpListener::bind(address).await.expect("the port it had");
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        assert!(asked(&mut stream).await.contains("from=7&"));
+        let drain = r#"{"revision":8,"complete":false,"members":[{"id":"s-1","host_port":"127.0.0.1:1","phase":"draining"}]}"#;
+        stream.write_all(answer(drain).as_bytes()).await.expect("it is open");
+        assert_eq!(told(&mut inputs).await, (8, 1));
+        assert!(back.elapsed() < Duration::from_secs(1), "{:?}", back.elapsed());
+    })
+    .await;
+}
--- a/crates/lanespan/src/cli.rs
+++ b/crates/lanespan/src/cli.rs
@@ -205,7 +205,8 @@
 /// The file with what the environment says.
 pub fn source(path: PathBuf) -> Result<Source, String> {
     let name = std::env::var("NODE_NAME").ok();
-    Ok(Source { path, name, listen: address("NODE_LISTEN")?, discovery: address("NODE_DISCOVERY")? })
+    let names = std::env::var_os("LANESPAN_NAMES").map(PathBuf::from);
+    Ok(Source { path, name, listen: address("NODE_LISTEN")?, discovery: address("NODE_DISCOVERY")?, names })
 }
 
 fn address(name: &str) -> Result<Option<SocketAddr>, String> {
--- a/crates/lanespan/tests/command.rs
+++ b/crates/lanespan/tests/command.rs
@@ -10,7 +10,7 @@
 /// The command with these words, told nothing by the environment.
 fn lanespan(words: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_lanespan"));
-    ["NODE_CONFIG", "NODE_LISTEN", "NODE_DISCOVERY", "NODE_NAME"].iter().for_each(|name| {
+    ["NODE_CONFIG", "NODE_LISTEN", "NODE_DISCOVERY", "NODE_NAME", "LANESPAN_NAMES"].iter().for_each(|name| {
         command.env_remove(name);
     });
     command.args(words).output().expect("it runs")
@@ -181,6 +181,124 @@
     assert!(code == Some(2) && lines[0].contains("fleet: expected a name"), "{lines:?}");
 }
 
+/// A site whose settings are wrong in these places (`None`: the key is missing), and what is said of each.
+fn wrong_sites() -> Vec<(Vec<(&'static str, Option<Value>)>, Vec<&'static str>)> {
+    let one = |pointer, value, line| (vec![(pointer, value)], vec![line]);
+    vec![
+        one(
+            "/classes/1/name",
+            Some(json!("look")),
+            "classes.1.name: expected another name than classes.0.name has, found 'look'",
+        ),
+        one(
+            "/plans/1/name",
+            Some(json!("team")),
+            "plans.1.name: expected another name than plans.0.name has, found 'team'",
+        ),
+        one("/classes/0/name", None, "classes.0.name: expected a value, found nothing"),
+        one(
+            "/classes/2/effect",
+            Some(json!("maybe")),
+            "classes.2.effect: expected pure, token, side_effect, found 'maybe'",
+        ),
+        one("/classes/2/effect", None, "classes.2.effect: expected pure, token, side_effect, found nothing"),
+        one(
+            "/classes/1/key_scope",
+            Some(json!("city")),
+            "classes.1.key_scope: expected all, zone, cell, found 'city'",
+        ),
+        one("/classes/1/window", Some(json!(0)), "classes.1.window: expected a number above 0, found '0'"),
+        one(
+            "/classes/0/deadline",
+            Some(json!(0)),
+            "classes.0.deadline: expected a number above 0, found '0'",
+        ),
+        one("/classes/0/deadline", None, "classes.0.deadline: expected a number above 0, found nothing"),
+        one("/classes", Some(json!([])), "classes: expected at least one, found none"),
+        one("/plans", None, "plans: expected at least one, found none"),
+        one("/plans/0/per_second", None, "plans.0.per_second: expected a value, found nothing"),
+        one(
+            "/plans/0/peak_units",
+            Some(json!(0)),
+            "plans.0.peak_units: expected a number above 0, found '0'",
+        ),
+        one("/balancers", None, "balancers: expected a number above 0, found nothing"),
+        one("/my_number", None, "my_number: expected a value, found nothing"),
+        one(
+            "/bounds/max_attempts",
+            Some(json!(0)),
+            "bounds.max_attempts: expected a number above 0, found '0'",
+        ),
+        one("/specifics/counter", None, "specifics.counter: expected a value, found nothing"),
+        one(
+            "/specifics/count_limit",
+            Some(json!(0)),
+            "specifics.count_limit: expected a number above 0, found '0'",
+        ),
+        one("/specifics/units_top", None, "specifics.units_top: expected a number above 0, found nothing"),
+        // All at once, a line each.
+        (
+            vec![
+                ("/classes/0/deadline", Some(json!(0))),
+                ("/classes/2/effect", None),
+                ("/plans/1/peak_units", Some(json!(-1))),
+            ],
+            vec![
+                "classes.0.deadline: expected a number above 0, found '0'",
+                "classes.2.effect: expected pure, token, side_effect, found nothing",
+                "plans.1.peak_units: expected a number above 0, found '-1'",
+            ],
+        ),
+    ]
+}
+
+/// The settings with these changes.
+fn site(changes: &[(&str, Option<Value>)]) -> Value {
+    let mut config = good();
+    for (pointer, value) in changes {
+        let (holder, key) = pointer.rsplit_once('/').expect("a pointer");
+        let holder = config.pointer_mut(&format!("/settings{holder}")).expect("it is there");
+        match (holder, value) {
+            (Value::Array(items), Some(value)) => {
+                items[key.parse::<usize>().expect("a place")] = value.clone()
+            }
+            (Value::Object(fields), Some(value)) => drop(fields.insert(key.to_string(), value.clone())),
+            (Value::Object(fields), None) => drop(fields.remove(key)),
+            (holder, _) => panic!("{pointer}: {holder}"),
+        }
+    }
+    config
+}
+
+#[test]
+fn a_site_that_makes_no_sense_is_told_key_by_key_with_its_values() {
+    for (changes, lines) in wrong_sites() {
+        let wanted: Vec<String> = lines.iter().map(|line| format!("settings: {line}")).collect();
+        assert_eq!(check(&site(&changes).to_string()), (Some(2), wanted), "{changes:?}");
+    }
+}
+
+#[test]
+fn at_sighup_a_site_that_makes_no_sense_is_told_and_all_stays_as_it_was() {
+    let backend = Stub::start(|_| http("200 OK", "ok"));
+    let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
+    let counter = counter();
+    let text = config(discovery.stub.address, counter.address);
+    let path = file(&text);
+    let node = Node::spawn(told_by(&path));
+    node.wait_ready();
+    for (changes, lines) in wrong_sites() {
+        let mut wrong: Value = serde_json::from_str(&text).expect("JSON");
+        wrong["settings"] = site(&changes)["settings"].clone();
+        std::fs::write(&path, wrong.to_string()).expect("written");
+        node.signal("HUP");
+        for line in lines {
+            node.wait_for_line(line);
+        }
+    }
+    assert_eq!(node.client().ask(&request("once", 3000)).status(), 200);
+}
+
 #[test]
 fn files_that_are_no_configuration_are_told_in_one_line() {
     let missing = PathBuf::from("/nonexistent/lanespan.toml");
--- a/crates/lanespan/tests/sockets/main.rs
+++ b/crates/lanespan/tests/sockets/main.rs
@@ -315,7 +315,10 @@
     for (bad, named) in [
         (String::new(), "empty"),
         (good.replace("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"xyz\""), "seed"),
-        (good.replace("\"balancers\":2", "\"balancers\":0"), "gateways"),
+        (
+            good.replace("\"balancers\":2", "\"balancers\":0"),
+            "settings: balancers: expected a number above 0, found '0'",
+        ),
         (good.replace("\"deadline\":8000000", "\"deadline\":-1"), "classes.1.deadline"),
         (good.replace("\"counter\":\"127.0.0.1:1\",", ""), "counter"),
         (
