Shutdown tests with processes: a second SIGTERM, SIGHUP, before ready; gone at a silent counter

Need: crossings that no test forced. Change: tests that hold a backend or the counter until the signal was heard in the log or the client is gone, and one that SIGTERM does not cut short what is read behind an answer; a second guard in Line::close, which no test needed as the reader looks for the cut itself, is taken out.

--- a/crates/gateway/src/server/line.rs
+++ b/crates/gateway/src/server/line.rs
@@ -108,7 +108,7 @@
         self.closing.get()
     }
     pub(super) fn close(&self) {
-        if self.phase.get() != Phase::Lingering && !self.closing.replace(true) {
+        if !self.closing.replace(true) {
             self.since.set(Instant::now());
             self.told.notify_one();
         }
--- a/crates/gateway/src/server/tests.rs
+++ b/crates/gateway/src/server/tests.rs
@@ -261,6 +261,24 @@
     .await;
 }
 
+#[tokio::test(flavor = "current_thread")]
+async fn sigterm_does_not_cut_short_what_is_read_behind_an_answer() {
+    crossing(|mut it| async move {
+        // It is answered with the connection's end, as there is no such path.
+        it.write("GET /elsewhere HTTP/1.1\r\nHost: a\r\n\r\n").await;
+        it.until("its end", |line| line.phase.get() == Phase::Lingering).await;
+        it.stop();
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
+        assert!(!it.serving.is_finished(), "a client that sends on would meet a reset");
+        it.write(ASK).await;
+        assert!(it.answer().await.0.starts_with("HTTP/1.1 404 "));
+        it.ended().await;
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "current_thread", start_paused = true)]
 async fn a_connection_that_was_ended_is_read_for_a_bounded_time_and_a_bounded_length() {
     // One client rests and one goes on without end.
@@ -333,12 +351,12 @@
     timeout(VAIN, LocalSet::new().run_until(playing)).await.expect("it ends");
 }
 
-#[tokio::test(flavor = "current_thread")]
+#[tokio::test(flavor = "current_thread", start_paused = true)]
 async fn who_comes_to_wait_when_time_is_up_is_told_as_well() {
     let up = TimeIsUp::default();
     assert!(timeout(Duration::ZERO, up.wait()).await.is_err(), "not yet");
     up.tell();
-    up.wait().await;
+    timeout(VAIN, up.wait()).await.expect("it was told");
 }
 
 #[tokio::test(flavor = "current_thread")]
--- a/crates/lanespan/tests/command.rs
+++ b/crates/lanespan/tests/command.rs
@@ -181,8 +181,11 @@
     assert!(code == Some(2) && lines[0].contains("fleet: expected a name"), "{lines:?}");
 }
 
-/// A site whose settings are wrong in these places (`None`: the key is missing), and what is said of each.
-fn wrong_sites() -> Vec<(Vec<(&'static str, Option<Value>)>, Vec<&'static str>)> {
+/// Places in the settings with what stands there (`None`: nothing), and what is said of each.
+type WrongSite = (Vec<(&'static str, Option<Value>)>, Vec<&'static str>);
+
+/// Sites whose settings are wrong.
+fn wrong_sites() -> Vec<WrongSite> {
     let one = |pointer, value, line| (vec![(pointer, value)], vec![line]);
     vec![
         one(
--- a/crates/lanespan/tests/sockets/main.rs
+++ b/crates/lanespan/tests/sockets/main.rs
@@ -309,6 +309,70 @@
     assert_eq!(node.ended(), Some(0));
 }
 
+#[test]
+fn a_second_sigterm_and_a_sighup_change_nothing_in_a_shutdown() {
+    let released = Arc::new((std::sync::Mutex::new(false), std::sync::Condvar::new()));
+    let held = released.clone();
+    let backend = Stub::start(move |_| {
+        let go = held.0.lock().expect("whole");
+        drop(held.1.wait_timeout_while(go, LIMIT, |go| !*go).expect("whole"));
+        http("200 OK", "ok")
+    });
+    let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
+    let mut node = Node::start(&discovery, &counter());
+    let mut client = node.client();
+    client.send(&request("once", 3000));
+    backend.wait_for("the attempt", |log| log.requests.len() == 1);
+    node.signal("TERM");
+    node.wait_for_line("stopping");
+    node.signal("TERM");
+    node.signal("HUP");
+    node.wait_for_line("configuration read again");
+    *released.0.lock().expect("whole") = true;
+    released.1.notify_all();
+    let answer = client.answer().expect("the answer");
+    assert_eq!((answer.status(), answer.body.as_str()), (200, "ok"));
+    assert_eq!(node.ended(), Some(0));
+}
+
+#[test]
+fn a_sigterm_before_it_is_ready_ends_it_well() {
+    let silent = Stub::start(|_| Reply::Silence);
+    let mut node = Node::spawn(program(&config(silent.address, silent.address)));
+    silent.wait_for("the list asked for", |log| !log.requests.is_empty());
+    node.signal("TERM");
+    assert_eq!(node.ended(), Some(0));
+}
+
+#[test]
+fn a_client_that_goes_while_the_counter_is_silent_is_never_sent_on() {
+    let released = Arc::new((std::sync::Mutex::new(false), std::sync::Condvar::new()));
+    let (held, adds) = (released.clone(), counter_that_adds());
+    let counter = Stub::start(move |request| {
+        let go = held.0.lock().expect("whole");
+        drop(held.1.wait_timeout_while(go, LIMIT, |go| !*go).expect("whole"));
+        adds(request)
+    });
+    let backend = Stub::start(|_| http("200 OK", "ok"));
+    let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
+    let node = Node::start(&discovery, &counter);
+    let mut client = node.client();
+    client.send(&request("look", 4000));
+    counter.wait_for("its call", |log| log.requests.len() == 1);
+    drop(client);
+    // The next request on another connection is taken behind the client's end; both calls are then answered.
+    let mut next = node.client();
+    next.send(&request("look", 4000).replace("9b1f", "9b20"));
+    counter.wait_for("the next one's call", |log| log.requests.len() == 2);
+    *released.0.lock().expect("whole") = true;
+    released.1.notify_all();
+    assert_eq!(next.answer().expect("an answer").status(), 200);
+    let ids: Vec<_> =
+        backend.requests().iter().filter_map(|r| r.header("x-call-id").map(str::to_string)).collect();
+    assert_eq!(ids, ["9b2003aa5c7e2d41"], "the one that went is not sent on");
+    counter.wait_for("its units taken back", |log| log.requests.iter().any(|r| r.line.contains("add=-2")));
+}
+
 #[test]
 fn a_bad_configuration_is_one_plain_line() {
     let good = config("127.0.0.1:1".parse().unwrap(), "127.0.0.1:1".parse().unwrap());
