A gateway whose log nobody reads any more serves on and ends at SIGTERM

Checked: the subscriber tells of a line that it can't write by eprintln!, which panics where standard error is closed. Ruled out: SIGPIPE, which Rust ignores, and the signal itself, which arrives. At fault: crates/lanespan/src/run.rs. "stopping" is logged in the task that passes SIGTERM on, which then ended before it did; "ready" in the driver's, which ends the gateway. Change: what can't be written is not told elsewhere. Measured: the new test closes the log behind the start, tells SIGHUP and SIGTERM, and sees it serve and end with 0; without the change it finds no listener.

--- a/crates/lanespan/src/run.rs
+++ b/crates/lanespan/src/run.rs
@@ -13,7 +13,10 @@
         Ok(config) => config,
         Err(error) => return super::wrong(error.lines()),
     };
-    tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
+    // Guards against a panic of whoever logs while nobody reads the log any more: what can't be written is told to
+    // standard error otherwise, where it can't be written either.
+    let log = tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr);
+    log.log_internal_errors(false).init();
     match until_stopped(config, source.clone()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/lanespan/tests/sockets/main.rs
+++ b/crates/lanespan/tests/sockets/main.rs
@@ -335,6 +335,46 @@
     assert_eq!(node.ended(), Some(0));
 }
 
+#[test]
+fn a_gateway_whose_log_nobody_reads_any_more_serves_on_and_ends_at_sigterm() {
+    use std::io::BufRead;
+    let (_backend, discovery, counter, _node) = before(|_| http("200 OK", "ok"));
+    let mut child = program(&config(discovery.stub.address, counter.address)).spawn().expect("it starts");
+    let mut log = std::io::BufReader::new(child.stderr.take().expect("piped"));
+    let mut line = String::new();
+    while !line.contains("address=") {
+        line.clear();
+        assert!(log.read_line(&mut line).expect("text") > 0, "it ended before it listened");
+    }
+    let address = line.split("address=").nth(1).and_then(|rest| rest.split_whitespace().next());
+    let address = address.expect("an address").parse().expect("an address");
+    drop(log);
+    let ready = Instant::now();
+    while Client::at(address).ask("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n").status() != 200 {
+        pace(ready);
+    }
+    let signal = |name: &str| {
+        let sent = std::process::Command::new("kill").args([name, &child.id().to_string()]).status();
+        assert!(sent.expect("kill runs").success());
+    };
+    // Each of these is told in the log.
+    signal("-HUP");
+    assert_eq!(Client::at(address).ask(&request("look", 3000)).status(), 200);
+    signal("-TERM");
+    let told = Instant::now();
+    let ended = loop {
+        match child.try_wait().expect("a child") {
+            Some(status) => break Some(status),
+            None if told.elapsed() > LIMIT => break None,
+            None => std::thread::sleep(Duration::from_millis(5)),
+        }
+    };
+    if ended.is_none() {
+        child.kill().expect("it runs");
+    }
+    assert_eq!(ended.and_then(|status| status.code()), Some(0), "it ends by itself");
+}
+
 #[test]
 fn a_sigterm_before_it_is_ready_ends_it_well() {
     let silent = Stub::start(|_| Reply::Silence);
