Duties: one given back is not granted to its leaving holder again

Checked: the same tokens come whenever the leaver's datagrams are lost, so presence's word that it leaves had not come when its HTTP word did; ruled out: a lost give-back (it is entry 2.5), another term (both are 2). At fault: Leases::due drew from all whom presence had not heard to leave, and Held::give_back ran once, for leases that had been renewed only; a renewal that was under way as it left could make it a holder again. Now the leader keeps who gave a duty back in its term, and one that leaves gives back whatever it is granted later or never renewed, at the pace of renewals, and takes no renewal.

--- a/crates/fleet/src/plan/duty.rs
+++ b/crates/fleet/src/plan/duty.rs
@@ -8,7 +8,7 @@
 //! holder does late is refused by its token.
 
 use super::document::{Document, Grant, Proposal, Token, DUTIES, SCHEMA};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The duties that there are: the assessor of failover, and the keeper of the order of work.
@@ -37,6 +37,8 @@
     renewed: BTreeMap<String, (Token, u64)>,
     /// Duties whose grant is under way, and its proposal. Their leases are over, so that nobody renews them meanwhile.
     granting: BTreeMap<String, u64>,
+    /// Who gave a duty back in this term, and so leaves, whether or not presence has heard of that yet.
+    leavers: BTreeSet<Candidate>,
 }
 
 impl Leases {
@@ -63,6 +65,11 @@
         self.granting.remove(duty);
     }
 
+    /// A holder gave a duty back. Guards against granting it to that life again: this word may be here before presence's.
+    pub fn given_back(&mut self, grant: Grant) {
+        self.leavers.insert((grant.holder, grant.life));
+    }
+
     /// A proposal of a grant came to nothing.
     pub fn failed(&mut self, id: u64) {
         self.granting.retain(|_, proposal| *proposal != id);
@@ -93,13 +100,16 @@
         mut id: impl FnMut() -> u64,
     ) -> Vec<Proposal> {
         let mut proposals = Vec::new();
+        // No life comes back once it has left.
+        self.leavers.retain(|leaver| candidates.contains(leaver));
         for duty in ALL {
             if self.granting.contains_key(duty) {
                 continue;
             }
             let held = document.grant(duty);
             let over = held.as_ref().is_none_or(|(grant, token)| now >= self.end(duty, grant, *token));
-            let Some((name, life)) = chosen(duty, candidates.iter()).filter(|_| over) else { continue };
+            let stays = candidates.iter().filter(|candidate| !self.leavers.contains(*candidate));
+            let Some((name, life)) = chosen(duty, stays).filter(|_| over) else { continue };
             let grant = Grant { holder: name.clone(), life: *life, ttl };
             // Words and numbers always have a form.
             let Ok(value) = serde_json::to_string(&grant) else { continue };
@@ -132,9 +142,17 @@
     ttl: u64,
     /// It holds before this; 0: it was not renewed yet.
     until: u64,
+    /// When its renewal or, by one that leaves, its end was last asked for; 0: never.
     asked: u64,
 }
 
+impl Lease {
+    /// Nothing was asked for yet, or so long ago that it is taken as lost.
+    fn may_ask(&self, now: u64) -> bool {
+        self.asked == 0 || now >= self.asked + self.ttl / RENEWALS / 2
+    }
+}
+
 /// A change at a holder.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Turn {
@@ -184,8 +202,7 @@
         if self.leaving {
             return Vec::new();
         }
-        let due =
-            self.leases.iter_mut().filter(|(_, l)| l.asked == 0 || now >= l.asked + l.ttl / RENEWALS / 2);
+        let due = self.leases.iter_mut().filter(|(_, lease)| lease.may_ask(now));
         let due = due.filter(|(_, l)| now + l.ttl - l.ttl / RENEWALS >= l.until);
         due.map(|(duty, lease)| {
             lease.asked = now;
@@ -196,7 +213,8 @@
 
     /// A renewal that was asked for then was granted.
     pub fn renewed(&mut self, duty: &str, token: Token, asked: u64, now: u64) -> Option<Turn> {
-        let (duty, lease) = self.leases.iter_mut().find(|(of, l)| **of == duty && l.token == token)?;
+        let mut leases = self.leases.iter_mut().filter(|_| !self.leaving);
+        let (duty, lease) = leases.find(|(of, l)| **of == duty && l.token == token)?;
         let taken = lease.until == 0;
         lease.until = lease.until.max(asked + lease.ttl - lease.ttl / DRIFT);
         (taken && lease.until > now).then_some(Turn::Taken(duty, token))
@@ -207,19 +225,25 @@
         self.leases.get(duty).filter(|lease| now < lease.until).map(|lease| lease.token)
     }
 
-    /// Gives all duties back: the proposals that say so. Nothing is held or renewed from here on.
+    /// Gives all duties back: the proposals that are to be made now, also of what is granted after the first call or was
+    /// not renewed yet. Nothing is held or renewed from here on.
     pub fn give_back(&mut self, me: &Candidate, now: u64, mut id: impl FnMut() -> u64) -> Vec<Proposal> {
-        self.leaving = true;
-        let held = std::mem::take(&mut self.leases).into_iter().filter(|(_, lease)| now < lease.until);
-        held.map(|(duty, lease)| Proposal {
-            id: id(),
-            schema: SCHEMA,
-            proposer: me.0.clone(),
-            reason: "its holder leaves".to_string(),
-            duty: Some((duty.to_string(), lease.token)),
-            section: DUTIES.to_string(),
-            key: duty.to_string(),
-            ..Proposal::default()
+        if !std::mem::replace(&mut self.leaving, true) {
+            self.leases.values_mut().for_each(|lease| (lease.until, lease.asked) = (0, 0));
+        }
+        let due = self.leases.iter_mut().filter(|(_, lease)| lease.may_ask(now));
+        due.map(|(duty, lease)| {
+            lease.asked = now;
+            Proposal {
+                id: id(),
+                schema: SCHEMA,
+                proposer: me.0.clone(),
+                reason: "its holder leaves".to_string(),
+                duty: Some((duty.to_string(), lease.token)),
+                section: DUTIES.to_string(),
+                key: duty.to_string(),
+                ..Proposal::default()
+            }
         })
         .collect()
     }
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -507,3 +507,65 @@
     let grant: Grant = serde_json::from_str(next[0].value.as_deref().expect("a value")).expect("a grant");
     assert!(next.len() == 1 && grant.holder != me.0 && next[0].section == DUTIES);
 }
+
+/// A duty that this candidate was granted, as the leader's leases and the document have it.
+fn granted_to(me: &Candidate, index: u64) -> (Document, Leases, Token) {
+    let (mut document, mut leases) = (Document::begun(1, &BTreeMap::new()), Leases::new(1, 0));
+    let due = leases.due(&document, std::slice::from_ref(me), SECOND, 0, || 1);
+    let grant = due.into_iter().find(|proposal| proposal.key == ALL[0]).expect("nobody holds it");
+    assert!(matches!(document.apply(at(index), &text(&grant)).0, Verdict::Agreed(_)));
+    leases.granted(ALL[0], at(index), 0);
+    leases.failed(1); // That of the other duty.
+    (document, leases, at(index))
+}
+
+#[test]
+fn a_life_that_gave_a_duty_back_is_granted_none_though_presence_has_not_heard_that_it_leaves() {
+    let (me, other): (Candidate, Candidate) = (("g0".into(), 1), ("g1".into(), 1));
+    let (mut document, mut leases, _) = granted_to(&me, 2);
+    let mut held = Held::default();
+    held.follow(&document, &me, 0);
+    let back = held.give_back(&me, 10, || 99);
+    let (before, _) = document.grant(ALL[0]).expect("granted");
+    assert!(matches!(document.apply(at(3), &text(&back[0])).0, Verdict::Agreed(_)));
+    leases.given_back(before);
+    let mut due = |candidates: &[Candidate]| {
+        let due = leases.due(&document, candidates, SECOND, 20, || 100);
+        due.iter().for_each(|proposal| leases.failed(proposal.id));
+        let holder = |grant: &Proposal| serde_json::from_str::<Grant>(grant.value.as_deref()?).ok();
+        due.iter().filter_map(holder).map(|grant| (grant.holder, grant.life)).collect::<Vec<Candidate>>()
+    };
+    assert_eq!(due(std::slice::from_ref(&me)), [], "whoever leaves is no candidate");
+    assert_eq!(due(&[me.clone(), other.clone()]), [other.clone(), other.clone()]);
+    let again = (me.0.clone(), 2);
+    assert_eq!(due(&[me, again.clone()]), [again.clone(), again], "its next life may hold it");
+}
+
+#[test]
+fn one_that_leaves_gives_back_what_it_is_granted_late_and_what_was_never_renewed() {
+    let me: Candidate = ("g0".into(), 1);
+    let (mut document, _, token) = granted_to(&me, 2);
+    let mut held = Held::default();
+    held.follow(&document, &me, 0);
+    assert_eq!(held.due(5), [(ALL[0], token)], "its first renewal is under way as it is told to end");
+    let back = held.give_back(&me, 10, || 99);
+    assert_eq!(back.len(), 1, "granted is enough");
+    assert_eq!(held.renewed(ALL[0], token, 5, 15), None, "a late renewal makes it a holder no more");
+    assert_eq!(held.token(ALL[0], 15), None);
+    assert!(held.give_back(&me, 20, || 98).is_empty(), "asked for a moment ago");
+    assert_eq!(held.give_back(&me, SECOND, || 97).len(), 1, "and again, where that was lost");
+    assert!(matches!(document.apply(at(3), &text(&back[0])).0, Verdict::Agreed(_)));
+    assert!(held.follow(&document, &me, SECOND).is_empty());
+    // Another leader, who has heard of nothing, grants it once more.
+    let grant =
+        serde_json::to_string(&Grant { holder: me.0.clone(), life: me.1, ttl: SECOND }).expect("words");
+    let late = Proposal { value: Some(grant), ..change(50, DUTIES, "") };
+    let late = Proposal { key: ALL[0].to_string(), ..late };
+    assert!(matches!(document.apply(at(4), &text(&late)).0, Verdict::Agreed(_)));
+    held.follow(&document, &me, SECOND + 10);
+    assert!(held.due(SECOND + 10).is_empty());
+    let back = held.give_back(&me, SECOND + 10, || 96);
+    assert_eq!(back[0].duty, Some((ALL[0].to_string(), at(4))));
+    assert!(matches!(document.apply(at(5), &text(&back[0])).0, Verdict::Agreed(_)));
+    assert_eq!(document.grant(ALL[0]), None);
+}
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -231,7 +231,7 @@
             tokio::select! {
                 Ok(_) = stopping.wait_for(|stop| *stop), if !stopped => {
                     stopped = true;
-                    self.clone().give_back();
+                    spawn_local(self.clone().leave());
                 }
                 _ = ticks.tick() => {
                     self.state.borrow_mut().voter.iter_mut().for_each(Voter::tick);
@@ -350,14 +350,17 @@
         }
     }
 
-    /// One line a change; a lease that this gateway granted as the leader is counted from here.
+    /// One line a change, before the copy takes it; a lease that this gateway granted as the leader is counted from here.
     fn changed(&self, state: &mut State, entry: &Entry) {
         state.changes += 1;
         let Some(proposal) = entry.proposal() else { return };
-        if let Some(leases) =
-            state.leases.as_mut().filter(|_| proposal.section == DUTIES && proposal.value.is_some())
-        {
-            leases.granted(&proposal.key, entry.token, self.now());
+        if let Some(leases) = state.leases.as_mut().filter(|_| proposal.section == DUTIES) {
+            let before = state.replica.document().grant(&proposal.key);
+            match (&proposal.value, before) {
+                (Some(_), _) => leases.granted(&proposal.key, entry.token, self.now()),
+                (None, Some((before, _))) => leases.given_back(before),
+                (None, None) => {}
+            }
         }
         let Proposal { section, key, value, proposer, reason, schema, .. } = &proposal;
         let (index, token, value) = (entry.index, entry.token, value.as_deref().unwrap_or("-"));
@@ -456,6 +459,11 @@
         for (duty, token) in state.held.due(now) {
             spawn_local(self.clone().hold(duty, token, now));
         }
+        if stopping {
+            // Also what was granted by one who has not heard of it yet.
+            let late = state.held.give_back(&me, now, || self.id());
+            spawn_local(self.clone().give_back(late));
+        }
         let leads = state.voter.as_ref().filter(|voter| voter.leads()).map(|voter| voter.place().term);
         if let Some(term) = leads {
             // Also where it lost the lead and got it back since the last round.
@@ -796,26 +804,27 @@
     }
 
     /// Gives all duties back, and the lead to another voter.
-    fn give_back(self: Rc<Self>) {
-        let now = self.now();
-        let (me, ids) = (self.me(), || self.id());
-        let proposals = self.state.borrow_mut().held.give_back(&me, now, ids);
-        spawn_local(async move {
-            for proposal in proposals {
-                let Ok(body) = serde_json::to_vec(&proposal) else { continue };
-                let answer = match self.propose(proposal).await {
-                    Answer::Elsewhere(_) => self.ask_leader("/plan/propose", body.into()).await,
-                    here => here,
-                };
-                info!(?answer, "plan: a duty given back");
-            }
-            let state = &mut *self.state.borrow_mut();
-            if let Some(voter) = state.voter.as_mut().filter(|voter| voter.leads()) {
-                let others = voter.others();
-                let next = others.get(self.rng.borrow_mut().usize(..others.len().max(1))).copied();
-                next.into_iter().for_each(|id| voter.hand_over(id));
-            }
-        });
+    async fn leave(self: Rc<Self>) {
+        let (me, now) = (self.me(), self.now());
+        let proposals = self.state.borrow_mut().held.give_back(&me, now, || self.id());
+        self.clone().give_back(proposals).await;
+        let state = &mut *self.state.borrow_mut();
+        if let Some(voter) = state.voter.as_mut().filter(|voter| voter.leads()) {
+            let others = voter.others();
+            let next = others.get(self.rng.borrow_mut().usize(..others.len().max(1))).copied();
+            next.into_iter().for_each(|id| voter.hand_over(id));
+        }
+    }
+
+    async fn give_back(self: Rc<Self>, proposals: Vec<Proposal>) {
+        for proposal in proposals {
+            let Ok(body) = serde_json::to_vec(&proposal) else { continue };
+            let answer = match self.propose(proposal).await {
+                Answer::Elsewhere(_) => self.ask_leader("/plan/propose", body.into()).await,
+                here => here,
+            };
+            info!(?answer, "plan: a duty given back");
+        }
     }
 
     /// Adds a voter, or removes one; one at a time.
--- a/crates/lanespan/tests/plan.rs
+++ b/crates/lanespan/tests/plan.rs
@@ -345,6 +345,25 @@
     });
 }
 
+#[test]
+fn a_duty_given_back_does_not_return_to_its_holder_though_nobody_hears_by_presence_that_it_leaves() {
+    let mut experiment = fleet(6, 3);
+    if let Some(plan) = &mut experiment.gateways.plan {
+        plan.lease_ms = 600_000;
+    }
+    with(experiment, |rig| async move {
+        let before = holder(&rig, "work").await;
+        // Its datagrams are lost from here on, its connections are sound.
+        let (from, to, fault) =
+            (vec![before.0.clone()], names(&["gateways"]), Fault { drop: 1.0, ..Fault::default() });
+        act(&rig, Act::Link { from, to, fault }).await;
+        act(&rig, Act::Terminate(vec![before.0.clone()])).await;
+        taken_by_another(&rig, "work", &before).await;
+        let granted = format!(r#"key="work" value="{{\"holder\":\"{}\""#, before.0);
+        assert_eq!(rig.gateway(0).lines_with(&granted), 1, "{granted}");
+    });
+}
+
 #[test]
 fn without_a_majority_requests_go_on_proposals_do_not_and_trust_is_given_up_until_it_is_back() {
     with(fleet(6, 3), |rig| async move {
