Admission: first tries go unheard as often as their plan was heard to have room

The counter knew little of it: what is owed is told with a customer's next call at the same gateway, which seldom comes. At fault: `local_take` grants at least one request of what is believed left, at each gateway of a customer whose share holds less than one; nothing weighed what that adds up to. Now a gateway learns by plan which part of the first tries that it heard of found no room, with the totals raised by what others did not tell (as much as here), and lets unheard ones go by chance, 1 where few were full and 0 where sending on beyond the quota costs more than it earns. Where the counter is silent, and for customers whose share holds a request, nothing changes.

--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -68,6 +68,10 @@
     pass: f64,
     usual_worth: f64,
     usual_stake: f64,
+    /// Of the units sent on, those that the counter was told; by plan, of the units of first tries of widely
+    /// spread customers, those that were heard to find no room.
+    told: RecentShare,
+    no_room: Vec<RecentShare>,
     serial: u64,
 }
 
@@ -77,7 +81,8 @@
         set.check()?;
         let rng = fastrand::Rng::with_seed(seed);
         let (ask, retries) = (Aimd::new(set.gateways), RETRY_SAVED);
-        let mut new = Gateway { set, rng, ask, retries, pass: 1.0, ..Gateway::default() };
+        let no_room = vec![RecentShare::default(); set.plans.len()];
+        let mut new = Gateway { set, rng, ask, retries, no_room, pass: 1.0, ..Gateway::default() };
         // Goes out with the first event, whichever that is.
         new.timer(Timer::Sweep, FORGET);
         new.out.extend(new.set.must_subscribe.then_some(Action::Subscribe));
--- a/crates/policy/src/rules/admission.rs
+++ b/crates/policy/src/rules/admission.rs
@@ -14,6 +14,14 @@
 const NEED_SPARE: f64 = 1.0;
 /// The part of a window's refill granted on top where nobody followed the last one, while all ask.
 const UNSEEN_REFILL: f64 = 0.3;
+/// Units by which it is learnt how much is told and how many find no room; so many are taken to have found
+/// room before any were heard of, and at least such a part is taken to be told.
+const LEARN_SPAN: f64 = 200.0;
+const ROOM_PRIOR: f64 = 20.0;
+const TOLD_LEAST: f64 = 0.1;
+/// The chance to go unheard is 1 up to a third of the odds at which it does not pay, and falls to 0 there:
+/// the last ones let go find less room than the mean that is heard of.
+const CHANCE_SLOPE: f64 = 1.5;
 
 impl Gateway {
     /// Window length and what it admits: one burst in the burst's time; under a ceiling halves of both.
@@ -232,6 +240,9 @@
         }
         let mut heard = None;
         if outcome == Outcome::Ok {
+            if call.purpose == Purpose::Window {
+                self.told.add(call.amount, 0.0, LEARN_SPAN);
+            }
             if current {
                 tally.posted += call.amount;
                 // Guards against an emptied counter: a total below our own adds proves lost memory; our spend
@@ -301,7 +312,14 @@
             return self.decide_place(id, heard);
         }
         let Some(r) = self.requests.get(&id) else { return };
-        let (customer, units, plan) = (r.a.customer, r.a.units, r.a.plan.0);
+        let (customer, units, plan, resent) = (r.a.customer, r.a.units, r.a.plan.0, r.a.resent);
+        let slight = self.slight(customer);
+        if let Some(total) = heard.filter(|_| slight && !resent) {
+            let none = self.room(customer, self.with_untold(customer, total)) < 0.0;
+            self.no_room[plan].add(if none { units } else { 0.0 }, units, LEARN_SPAN);
+        }
+        let pays = heard.is_some() || !slight || self.silent(customer) || self.pays(plan);
+        let Some(r) = self.requests.get(&id) else { return };
         let ok = match heard {
             _ if r.done => return,
             // Under a ceiling what a counter forgot is paid off first.
@@ -310,15 +328,37 @@
             Some(_) => self.beyond_take(customer, plan, units),
             // A repeat was refused a moment ago, here or elsewhere: where a share holds less than one request
             // it must be heard. Elsewhere nine of ten had room, as most were refused for want of an answer.
-            None if r.a.resent && self.slight(customer) && !self.silent(customer) => false,
+            None if resent && slight && !self.silent(customer) => false,
+            None if !pays => false,
             None => self.beyond_take(customer, plan, units) && self.local_take(customer, plan, units),
         };
+        self.told.add(0.0, if ok { units } else { 0.0 }, LEARN_SPAN);
         match ok {
             true => self.ask_place(id),
             false => self.refuse(id),
         }
     }
 
+    /// A total with what others sent on and never told, which is taken to be as much as here. Guards against
+    /// taking customers for idle whose units went on unheard through other gateways: the counter hears of
+    /// those with their next call only, so never where a customer seldom comes to one gateway twice.
+    fn with_untold(&self, customer: CustomerId, total: f64) -> f64 {
+        let own = self.customers.get(&customer).map_or(0.0, |c| c.window.own());
+        let told = if self.told.whole > 0.0 { self.told.part / self.told.whole } else { 1.0 };
+        own + (total - own).max(0.0) / told.clamp(TOLD_LEAST, 1.0)
+    }
+
+    /// Whether a first try that nothing was heard of is worth sending on, by chance: as often as its plan's
+    /// others were heard to have room, against what one beyond the quota costs. Guards against the least of
+    /// one request that `local_take` grants at each of a customer's many gateways, which adds up to many
+    /// times its store. May refuse what had room, where others of its plan ask for far more than their quotas.
+    fn pays(&mut self, plan: usize) -> bool {
+        let (p, heard) = (&self.set.plans[plan], self.no_room[plan]);
+        let lost = p.over_cost - p.over_worth;
+        let none = heard.part / (heard.whole + ROOM_PRIOR);
+        lost <= 0.0 || self.rng.f64() < CHANCE_SLOPE * (1.0 - none * (1.0 + lost))
+    }
+
     /// Guards the hard ceiling wherever the plain window does not speak for what is sent on: unheard, by what
     /// a gateway believes was left over, or beyond the quota. Each gateway may send so only its part of what
     /// the ceiling holds above the quota; plain windows stay within the quota, so the sum keeps the ceiling
@@ -384,7 +424,7 @@
     pub(super) fn sync_places(&mut self, customer: CustomerId) {
         self.roll(customer);
         let Some(c) = self.customers.get_mut(&customer) else { return };
-        let surplus = c.epoch.posted + c.epoch.posting + c.epoch.owed - c.out;
+        let surplus = c.epoch.own() - c.out;
         if surplus > 0.5 && self.breaker.opened.is_none() {
             c.epoch.owed -= surplus;
             self.call(Purpose::Open, customer, None, 0.0);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -27,6 +27,22 @@
     }
 }
 
+/// Which part of what was seen of late: both sums are halved when the whole grows past a span.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct RecentShare {
+    pub(crate) part: f64,
+    pub(crate) whole: f64,
+}
+
+impl RecentShare {
+    pub(crate) fn add(&mut self, part: f64, whole: f64, span: f64) {
+        (self.part, self.whole) = (self.part + part, self.whole + whole);
+        if self.whole > span {
+            (self.part, self.whole) = (self.part / 2.0, self.whole / 2.0);
+        }
+    }
+}
+
 /// What a count is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Purpose {
@@ -75,6 +91,10 @@
     pub(crate) fn known(&self) -> f64 {
         self.seen + self.owed + self.posting
     }
+    /// What of the total is this gateway's own, told or not.
+    pub(crate) fn own(&self) -> f64 {
+        self.posted + self.posting + self.owed
+    }
 }
 
 /// What was refused last, by which a repeat is known.
--- a/crates/policy/tests/scale.rs
+++ b/crates/policy/tests/scale.rs
@@ -230,3 +230,109 @@
     assert!((40..90).contains(&late_in_the_window), "{late_in_the_window}");
     assert_eq!(admitted(100, 27.0), 0, "never the whole refill");
 }
+
+/// New customers, at a counter whose answers take so long and tell this total; how many of them went unheard, and how
+/// many of these were sent on.
+fn rounds(
+    rig: &mut Rig,
+    many: u32,
+    wait: u64,
+    total: f64,
+    ask: impl Fn(&mut Rig) -> (RequestId, Vec<Action>),
+) -> (u32, u32) {
+    let (mut unheard, mut sent) = (0, 0);
+    for _ in 0..many {
+        let (id, mut out) = ask(rig);
+        let calls = counts(&out);
+        rig.pass(wait);
+        for (name, _) in &calls {
+            out.extend(rig.tell(Event::Counted(*name, Outcome::Ok, total)));
+        }
+        if calls.is_empty() {
+            unheard += 1;
+            sent += u32::from(!sends(&out).is_empty());
+        }
+        sends(&out).iter().for_each(|(_, s)| drop(rig.ended(id, 0, *s, Outcome::Ok)));
+    }
+    (unheard, sent)
+}
+
+/// Answers that take so long keep a gateway from asking for all, others let it.
+const SLOW: u64 = 50 * MS;
+const SOON: u64 = 10 * MS;
+
+fn first_try(rig: &mut Rig) -> (RequestId, Vec<Action>) {
+    wide(rig, false)
+}
+
+/// A customer whose share of its store is ten units here.
+fn narrow(rig: &mut Rig) -> (RequestId, Vec<Action>) {
+    rig.request(0, 0, 1_000_000 + rig.next, 2.0)
+}
+
+/// A gateway that has heard this of half a minute's first tries.
+fn has_heard(plan: Plan, total: f64) -> Rig {
+    let set = Settings { gateways: 200, plans: vec![plan], ..settings() };
+    let mut rig = Rig::seeded(3, set, 50);
+    rounds(&mut rig, 600, SLOW, total, first_try);
+    rig
+}
+
+/// Which part of the first tries of whom nothing is heard it then sends on.
+fn sent_unheard(plan: Plan, total: f64) -> f64 {
+    let (unheard, sent) = rounds(&mut has_heard(plan, total), 600, SLOW, total, first_try);
+    assert!(unheard > 100, "{unheard} went unheard");
+    f64::from(sent) / f64::from(unheard)
+}
+
+#[test]
+fn first_tries_go_unheard_as_often_as_it_pays_by_what_was_heard_of_their_plan() {
+    let costly = plan(10.0, 20.0);
+    let free = Plan { over_cost: 0.0, ..plan(10.0, 20.0) };
+    let earns = Plan { over_worth: 1.0, ..plan(10.0, 20.0) };
+    assert_eq!(sent_unheard(costly.clone(), 2.0), 1.0, "their stores were heard to be all but full");
+    assert_eq!(sent_unheard(costly, 60.0), 0.0, "their stores were heard to be empty");
+    assert_eq!(sent_unheard(free, 60.0), 1.0, "beyond the quota costs nothing");
+    assert_eq!(sent_unheard(earns, 60.0), 1.0, "or earns as much as it costs");
+}
+
+#[test]
+fn what_the_other_gateways_never_told_is_reckoned_with_by_what_is_told_here() {
+    // 2 of 12 units are the request's own. Of what goes on here one unit in five or less is told, so the others are
+    // taken to have sent on 50 where a store holds 20, until so few go unheard that most is told.
+    let some = sent_unheard(plan(10.0, 20.0), 12.0);
+    assert!(some < 0.9, "{some}: they are taken for idle");
+    assert!(some > 0.02, "{some}: what is told was not learnt anew");
+}
+
+#[test]
+fn what_was_heard_of_first_tries_binds_neither_narrow_customers_nor_a_silent_counter() {
+    let mut rig = has_heard(plan(10.0, 20.0), 60.0);
+    let (unheard, sent) = rounds(&mut rig, 60, SLOW, 60.0, narrow);
+    assert!(unheard > 20 && unheard == sent, "{sent} of {unheard}");
+    // The counter falls silent: then local buckets are all there is, and each starts with one request.
+    while !rig.gateway.look().breaker_open {
+        let (_, out) = wide(&mut rig, false);
+        rig.pass(100 * MS);
+        counts(&out)
+            .iter()
+            .for_each(|(name, _)| drop(rig.tell(Event::Counted(*name, Outcome::Timeout, 0.0))));
+    }
+    let (_, out) = wide(&mut rig, false);
+    assert!(counts(&out).is_empty() && sends(&out).len() == 1, "{out:?}");
+}
+
+#[test]
+fn what_is_heard_of_repeats_and_narrow_customers_says_nothing_of_wide_ones_first_tries() {
+    // Whoever was refused a moment ago has no room: that is why it comes again.
+    let repeat = |rig: &mut Rig| wide(rig, true);
+    let others: [&dyn Fn(&mut Rig) -> (RequestId, Vec<Action>); 2] = [&repeat, &narrow];
+    for other in others {
+        let mut rig = has_heard(plan(10.0, 20.0), 2.0);
+        rounds(&mut rig, 1_000, SOON, 2.0, first_try);
+        let (unheard, _) = rounds(&mut rig, 300, SOON, 60.0, other);
+        assert!(unheard < 30, "{unheard}: they are to be heard");
+        let (unheard, sent) = rounds(&mut rig, 300, SLOW, 2.0, first_try);
+        assert!(unheard > 100 && unheard == sent, "{sent} of {unheard}");
+    }
+}
