Admission: odds of unheard first tries leave alone who was heard of, and small fleets

Change: at least as often as the gateway's share of the store comes to a whole request, never where the customer was heard of in this window, and no draw where nothing is open.

--- a/crates/policy/src/rules/admission.rs
+++ b/crates/policy/src/rules/admission.rs
@@ -318,7 +318,7 @@
             let none = self.room(customer, self.with_untold(customer, total)) < 0.0;
             self.no_room[plan].add(if none { units } else { 0.0 }, units, LEARN_SPAN);
         }
-        let pays = heard.is_some() || !slight || self.silent(customer) || self.pays(plan);
+        let pays = heard.is_some() || self.silent(customer) || self.pays(customer, plan);
         let Some(r) = self.requests.get(&id) else { return };
         let ok = match heard {
             _ if r.done => return,
@@ -348,15 +348,18 @@
         own + (total - own).max(0.0) / told.clamp(TOLD_LEAST, 1.0)
     }
 
-    /// Whether a first try that nothing was heard of is worth sending on, by chance: as often as its plan's
-    /// others were heard to have room, against what one beyond the quota costs. Guards against the least of
-    /// one request that `local_take` grants at each of a customer's many gateways, which adds up to many
-    /// times its store. May refuse what had room, where others of its plan ask for far more than their quotas.
-    fn pays(&mut self, plan: usize) -> bool {
-        let (p, heard) = (&self.set.plans[plan], self.no_room[plan]);
+    /// Whether a first try that was not heard is worth sending on, by chance: as often as its plan's others
+    /// were heard to have room, against what one beyond the quota costs, and at least as often as this
+    /// gateway's share of the store comes to a whole request. Who was heard of in this window is judged by
+    /// that. Guards against the least of one request that `local_take` grants at each of a customer's many
+    /// gateways, which adds up to many times its store. May refuse what had room, where others ask for more.
+    fn pays(&mut self, customer: CustomerId, plan: usize) -> bool {
+        let (p, heard, c) = (&self.set.plans[plan], self.no_room[plan], &self.customers[&customer]);
         let lost = p.over_cost - p.over_worth;
         let none = heard.part / (heard.whole + ROOM_PRIOR);
-        lost <= 0.0 || self.rng.f64() < CHANCE_SLOPE * (1.0 - none * (1.0 + lost))
+        let share = p.burst / (c.spread * self.set.most_units);
+        let chance = (CHANCE_SLOPE * (1.0 - none * (1.0 + lost))).max(share);
+        lost <= 0.0 || c.window.seen > 0.0 || chance >= 1.0 || self.rng.f64() < chance
     }
 
     /// Guards the hard ceiling wherever the plain window does not speak for what is sent on: unheard, by what
