An attempt that has not begun is never begun once its request has ended

Ruled out: the module, which sends nothing on for a request that has ended. At fault: `backend::exchange` waits for a connection, which may come up 1.5 s late there, and then writes; where the settings allow nothing to be called off, nobody told it that the client had gone meanwhile. Now a request's end, whichever it is, ends such a wait and what it held is given back; an attempt that has begun goes on. Tests: the wait and a connection that comes free in the same moment, an attempt that has begun, each way a request ends.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -11,7 +11,7 @@
 use lanespan_policy::api::{Micros, Outcome, Report};
 use std::cell::RefCell;
 use std::rc::Rc;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 /// A client's request as it goes on to backends.
@@ -106,6 +106,9 @@
     pub begin_by: Instant,
     /// Told when it is called off.
     pub called_off: oneshot::Receiver<()>,
+    /// Whether its request still waits for an answer. Where it does not, an attempt that is not begun yet never is, also
+    /// where none may be called off.
+    pub wanted: watch::Receiver<bool>,
 }
 
 /// What the request of an attempt may have been written to, and how far it went.
@@ -131,7 +134,7 @@
     request: &Forward,
     order: Order,
 ) -> Ended {
-    let Order { number, until, begin_by, called_off } = order;
+    let Order { number, until, begin_by, called_off, mut wanted } = order;
     let written = RefCell::new(Written::default());
     tokio::select! {
         biased;
@@ -149,7 +152,7 @@
             }
             Written { traffic: None, .. } => Outcome::ConnectFailed.into(),
         },
-        ended = exchange(pool, relays, backend, request, number, (until, begin_by), &written) => ended,
+        ended = exchange(pool, relays, backend, request, number, (until, begin_by), &mut wanted, &written) => ended,
     }
 }
 
@@ -181,11 +184,17 @@
     request: &Forward,
     number: usize,
     (until, begin_by): (Instant, Instant),
+    wanted: &mut watch::Receiver<bool>,
     written: &RefCell<Written>,
 ) -> Ended {
     let here = &request.names.headers;
     loop {
-        let mut lease = match pool.checkout(backend, until.min(begin_by)).await {
+        let ready = tokio::select! {
+            biased;
+            _ = wanted.wait_for(|wanted| !wanted) => return Outcome::Moot.into(),
+            ready = pool.checkout(backend, until.min(begin_by)) => ready,
+        };
+        let mut lease = match ready {
             Ok(lease) => lease,
             // A repeat whose time ended while a connection came up says nothing of its backend.
             Err(_) if begin_by < until && Instant::now() >= begin_by => return Outcome::Moot.into(),
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -138,6 +138,8 @@
 /// A request in the table: until it has its answer and nothing of it is out.
 struct Open {
     reply: Option<oneshot::Sender<Answer>>,
+    /// The same for its attempts: whether an answer is still waited for.
+    wanted: watch::Sender<bool>,
     forward: Rc<Forward>,
     attempts: Vec<Attempt>,
     /// Its class, plan and when it came, for the figures.
@@ -159,6 +161,17 @@
 }
 
 impl Open {
+    fn new(reply: oneshot::Sender<Answer>, forward: Forward, came: (ClassId, PlanId, Micros)) -> Open {
+        let (wanted, _) = watch::channel(true);
+        Open { reply: Some(reply), wanted, forward: Rc::new(forward), attempts: Vec::new(), came }
+    }
+
+    /// Its end: whom to tell of it, unless it was there before. What was not begun for it never is.
+    fn end(&mut self) -> Option<oneshot::Sender<Answer>> {
+        self.wanted.send_replace(false);
+        self.reply.take()
+    }
+
     fn over(&self) -> bool {
         self.reply.is_none() && !self.attempts.iter().any(|a| a.out)
     }
@@ -379,14 +392,12 @@
             Input::Taken(taken) => {
                 let Taken { arrival, at, forward, reply } = *taken;
                 let came = (arrival.class, arrival.plan, at);
-                let (forward, attempts) = (Rc::new(forward), Vec::new());
-                let open = Open { reply: Some(reply), forward, attempts, came };
-                self.requests.insert(arrival.id, open);
+                self.requests.insert(arrival.id, Open::new(reply, forward, came));
                 self.batch.push(Event::Request(arrival));
             }
             Input::Gone(id) => {
                 if let Some(open) = self.requests.get_mut(&id).filter(|open| open.reply.is_some()) {
-                    open.reply = None;
+                    open.end();
                     let came = open.came;
                     self.batch.push(Event::ClientGone(id));
                     self.note(came, Final::Gone);
@@ -413,10 +424,14 @@
             }
             Input::Ended(id, attempt, server, ended, took) => {
                 let Some(open) = self.requests.get_mut(&id) else { return };
-                let Some(a) = open.attempts.get_mut(attempt) else { return };
+                if open.attempts.get(attempt).is_none() {
+                    return;
+                }
                 // The first 200 is the client's at once and ends the request; the module hears of it. One that
                 // comes second, or for nobody, ends here with its connection.
-                if let Some((body, reply)) = ended.body.and_then(|body| Some((body, open.reply.take()?))) {
+                let served = ended.body.and_then(|body| Some((body, open.end()?)));
+                let Some(a) = open.attempts.get_mut(attempt) else { return };
+                if let Some((body, reply)) = served {
                     if matches!(body, Served::Long(_)) {
                         a.begun = Some((server, ended.report, took));
                         self.batch.push(Event::StreamStarted(id, attempt));
@@ -542,7 +557,7 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        if let Some(reply) = open.reply.take() {
+        if let Some(reply) = open.end() {
             let (came, refused) = (open.came, matches!(answer, Answer::Refused(_)));
             // A client that has just gone needs no answer.
             let _ = reply.send(answer);
@@ -631,11 +646,12 @@
         };
         let (call_off, called_off) = oneshot::channel();
         open.attempts.push(Attempt::new(Some(call_off)));
+        let wanted = open.wanted.subscribe();
         let (pool, relays) = (self.pool.clone(), self.relays.clone());
         let (forward, inbox) = (open.forward.clone(), self.inbox.clone());
         let (until, begin_by, clock) = (self.clock.instant(until), self.clock.instant(begin_by), self.clock);
         tokio::task::spawn_local(async move {
-            let order = backend::Order { number, until, begin_by, called_off };
+            let order = backend::Order { number, until, begin_by, called_off, wanted };
             let mut work = pin!(attempt(&pool, &relays, &backend, &forward, order));
             let bound = async {
                 match forward.body.upload() {
--- a/crates/gateway/src/driver/tests.rs
+++ b/crates/gateway/src/driver/tests.rs
@@ -41,7 +41,8 @@
     let backend = driver.pool.backend(address, number as u64, None);
     let until = Instant::now() + Duration::from_secs(10);
     let (call_off, called_off) = oneshot::channel();
-    let order = backend::Order { number, until, begin_by: until, called_off };
+    let (_wanted, wanted) = watch::channel(true);
+    let order = backend::Order { number, until, begin_by: until, called_off, wanted };
     let (method, uri) = (Method::GET, "/".parse().expect("a path"));
     let body = Payload::Whole(bytes::Bytes::new());
     let forward = Forward { method, uri, headers: HeaderMap::new(), body, names: Rc::default() };
@@ -107,9 +108,9 @@
         }
         let (method, uri) = (Method::GET, "/".parse().expect("a path"));
         let body = Payload::Whole(bytes::Bytes::new());
-        let forward = Rc::new(Forward { method, uri, headers: HeaderMap::new(), body, names: Rc::default() });
+        let forward = Forward { method, uri, headers: HeaderMap::new(), body, names: Rc::default() };
         let came = (ClassId(0), PlanId(0), Micros(0));
-        driver.requests.insert(id, Open { reply: Some(reply), forward, attempts, came });
+        driver.requests.insert(id, Open { attempts, ..Open::new(reply, forward, came) });
         assert!(copies.iter().all(|copy| matches!(copy.body, Some(Served::Long(_)))));
         let over: Vec<_> = copies.iter_mut().filter_map(|copy| copy.over.take()).collect();
         for (number, copy) in copies.into_iter().enumerate() {
@@ -138,3 +139,31 @@
     };
     LocalSet::new().run_until(testing).await;
 }
+
+#[tokio::test(flavor = "current_thread")]
+async fn whatever_ends_a_request_tells_its_attempts_that_nobody_waits() {
+    let ends: [fn(&mut Driver); 4] = [
+        |driver| driver.take(Input::Gone(RequestId(1))),
+        |driver| driver.answer(RequestId(1), Answer::Refused(None)),
+        |driver| driver.answer(RequestId(1), Answer::Failed),
+        |driver| {
+            let served = Ended { body: Some(Served::Whole(bytes::Bytes::new())), ..Outcome::Ok.into() };
+            driver.take(Input::Ended(RequestId(1), 0, ServerId(0), served, Micros(0)));
+        },
+    ];
+    for (way, end) in ends.into_iter().enumerate() {
+        let mut driver = driver();
+        let (method, uri) = (Method::GET, "/".parse().expect("a path"));
+        let body = Payload::Whole(bytes::Bytes::new());
+        let forward = Forward { method, uri, headers: HeaderMap::new(), body, names: Rc::default() };
+        let (reply, _answer) = oneshot::channel();
+        let mut open = Open::new(reply, forward, (ClassId(0), PlanId(0), Micros(0)));
+        let (call_off, _called_off) = oneshot::channel();
+        open.attempts.push(Attempt::new(Some(call_off)));
+        let wanted = open.wanted.subscribe();
+        driver.requests.insert(RequestId(1), open);
+        assert!(*wanted.borrow());
+        end(&mut driver);
+        assert!(!*wanted.borrow(), "way {way}");
+    }
+}
--- a/crates/gateway/tests/backend.rs
+++ b/crates/gateway/tests/backend.rs
@@ -14,7 +14,7 @@
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 use world::{http, on_runtime, Reply, Stub};
 
@@ -61,7 +61,8 @@
 async fn attempt(pool: &Rc<Pool>, backend: &Backend, limit: Duration) -> Ended {
     let (_call_off, called_off) = oneshot::channel();
     let until = Instant::now() + limit;
-    let order = Order { number: 0, until, begin_by: until, called_off };
+    let (_wanted, wanted) = watch::channel(true);
+    let order = Order { number: 0, until, begin_by: until, called_off, wanted };
     lanespan_gateway::backend::attempt(pool, &whole(), backend, &post(), order).await
 }
 
@@ -107,14 +108,9 @@
         let (call_off, called_off) = oneshot::channel();
         let forward = post();
         let until = Instant::now() + LONG;
-        let relays = whole();
-        let out = lanespan_gateway::backend::attempt(
-            &pool,
-            &relays,
-            &backend,
-            &forward,
-            Order { number: 0, until, begin_by: until, called_off },
-        );
+        let (relays, (_wanted, wanted)) = (whole(), watch::channel(true));
+        let order = Order { number: 0, until, begin_by: until, called_off, wanted };
+        let out = lanespan_gateway::backend::attempt(&pool, &relays, &backend, &forward, order);
         let (ended, ()) = tokio::join!(out, async {
             while stub.requests().len() < 2 {
                 tokio::time::sleep(Duration::from_millis(1)).await;
@@ -372,14 +368,9 @@
                         // It may have ended by itself.
                         let _ = call_off.send(());
                     };
-                    let relays = whole();
-                    let out = lanespan_gateway::backend::attempt(
-                        &pool,
-                        &relays,
-                        &backend,
-                        &forward,
-                        Order { number: 0, until, begin_by: until, called_off },
-                    );
+                    let (relays, (_wanted, wanted)) = (whole(), watch::channel(true));
+                    let order = Order { number: 0, until, begin_by: until, called_off, wanted };
+                    let out = lanespan_gateway::backend::attempt(&pool, &relays, &backend, &forward, order);
                     tokio::join!(out, calling_off).0.outcome
                 });
             }
@@ -443,7 +434,8 @@
             let before = stub.requests().len();
             let (_call_off, called_off) = oneshot::channel();
             let (now, until) = (Instant::now(), Instant::now() + LONG);
-            let order = Order { number: 1, until, begin_by: now, called_off };
+            let (_wanted, wanted) = watch::channel(true);
+            let order = Order { number: 1, until, begin_by: now, called_off, wanted };
             let ended = lanespan_gateway::backend::attempt(&pool, &whole(), &backend, &post(), order).await;
             assert_eq!(ended.outcome, Outcome::Moot, "its backend is not to blame");
             assert_eq!(stub.requests().len(), before, "nothing was written");
@@ -469,3 +461,62 @@
         assert_eq!((ended.outcome, body(&ended)), (Outcome::Reset, None), "reset {reset}");
     }
 }
+
+#[test]
+fn an_attempt_that_waits_for_a_connection_as_its_request_ends_is_never_begun() {
+    let stub = Stub::start(|_| http("200 OK", "ok"));
+    let pool = pool(1, LONG, LONG);
+    let backend = backend(&pool, &stub);
+    on_runtime(async {
+        let only = pool.checkout(&backend, Instant::now() + LONG).await.expect("a connection");
+        let ((still_wanted, wanted), until) = (watch::channel(true), Instant::now() + LONG);
+        let (_call_off, called_off) = oneshot::channel();
+        let order = Order { number: 0, until, begin_by: until, called_off, wanted: wanted.clone() };
+        let (relays, forward) = (whole(), post());
+        let out = lanespan_gateway::backend::attempt(&pool, &relays, &backend, &forward, order);
+        let (ended, ()) = tokio::join!(out, async {
+            while pool.gauges().waiting == 0 {
+                tokio::task::yield_now().await;
+            }
+            // Its client goes, or it is answered otherwise, and nothing may be called off; in the same moment the
+            // connection comes free.
+            still_wanted.send_replace(false);
+            only.give_back();
+        });
+        assert_eq!(ended.outcome, Outcome::Moot);
+        // Nor where one stands ready.
+        let (_call_off, called_off) = oneshot::channel();
+        let order = Order { number: 1, until, begin_by: until, called_off, wanted };
+        let ended = lanespan_gateway::backend::attempt(&pool, &relays, &backend, &forward, order).await;
+        assert_eq!(ended.outcome, Outcome::Moot);
+        assert_eq!((pool.gauges().in_use, pool.gauges().waiting), (0, 0), "what it held is given back");
+    });
+    assert_eq!(stub.requests().len(), 0, "nothing was written");
+}
+
+#[test]
+fn an_attempt_that_has_begun_goes_on_when_its_request_ends() {
+    let (told, tell) = channel();
+    let told = std::sync::Mutex::new(told);
+    let stub = Stub::start(move |_| {
+        let _ = told.lock().expect("no panic").send(());
+        http("200 OK", "ok")
+    });
+    let pool = pool(1, LONG, LONG);
+    let backend = backend(&pool, &stub);
+    let ended = on_runtime(async {
+        let ((still_wanted, wanted), until) = (watch::channel(true), Instant::now() + LONG);
+        let (_call_off, called_off) = oneshot::channel();
+        let order = Order { number: 0, until, begin_by: until, called_off, wanted };
+        let (relays, forward) = (whole(), post());
+        let out = lanespan_gateway::backend::attempt(&pool, &relays, &backend, &forward, order);
+        let (ended, ()) = tokio::join!(out, async {
+            while tell.try_recv().is_err() {
+                tokio::task::yield_now().await;
+            }
+            still_wanted.send_replace(false);
+        });
+        ended
+    });
+    assert_eq!(ended.outcome, Outcome::Ok);
+}
