--- a/crates/policy/src/rules/servers.rs
+++ b/crates/policy/src/rules/servers.rs
@@ -26,8 +26,8 @@
     pub(super) fn judge(&mut self, server: ServerId, outcome: Outcome, took: Micros, aim: Micros) {
         let now = self.now;
         let (jitter, scale) = (0.75 + 0.5 * self.rng.f64(), self.scale());
-        // Guards against shedding for work that takes long by itself while the servers have room: by what they
-        // report, else while the usual answer comes early and nearly all come in time.
+        // Guards against shedding for work that takes long by itself while the servers have room: by what
+        // they report, else while the usual answer comes early and nearly all come in time.
         let early = self.fail_share < CALM_SHARE && Micros(self.latency as u64) < aim.times(USUAL_PART);
         let free = self.sparse() && self.load.map_or(early, |load| load < BUSY_LOAD);
         let Some(s) = self.servers.get_mut(&server) else { return };
