--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -134,7 +134,7 @@
     request: &Forward,
     order: Order,
 ) -> Ended {
-    let Order { number, until, begin_by, called_off, mut wanted } = order;
+    let Order { number, until, begin_by, called_off, wanted } = order;
     let written = RefCell::new(Written::default());
     tokio::select! {
         biased;
@@ -152,7 +152,7 @@
             }
             Written { traffic: None, .. } => Outcome::ConnectFailed.into(),
         },
-        ended = exchange(pool, relays, backend, request, number, (until, begin_by), &mut wanted, &written) => ended,
+        ended = exchange(pool, relays, backend, request, Begin { number, until, begin_by, wanted }, &written) => ended,
     }
 }
 
@@ -177,16 +177,23 @@
     }
 }
 
+/// What of its order says whether an attempt is begun, and as which.
+struct Begin {
+    number: usize,
+    until: Instant,
+    begin_by: Instant,
+    wanted: watch::Receiver<bool>,
+}
+
 async fn exchange(
     pool: &Rc<Pool>,
     relays: &Relays,
     backend: &Backend,
     request: &Forward,
-    number: usize,
-    (until, begin_by): (Instant, Instant),
-    wanted: &mut watch::Receiver<bool>,
+    begin: Begin,
     written: &RefCell<Written>,
 ) -> Ended {
+    let Begin { number, until, begin_by, mut wanted } = begin;
     let here = &request.names.headers;
     loop {
         let ready = tokio::select! {
--- a/crates/gateway/tests/backend.rs
+++ b/crates/gateway/tests/backend.rs
@@ -520,3 +520,29 @@
     });
     assert_eq!(ended.outcome, Outcome::Ok);
 }
+
+#[test]
+fn a_reset_in_the_middle_of_writing_counts_as_one_that_may_have_run() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let reads_a_little = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        stream.read_exact(&mut [0; 1024]).expect("it begins");
+        // Unread bytes are there: the close resets.
+        socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+    });
+    let pool = pool(1, LONG, LONG);
+    let backend = pool.backend(address, 0, None);
+    // More than the sockets between them hold, so that it can't all be written.
+    let forward = Forward { body: Payload::Whole(vec![b'x'; 64 << 20].into()), ..post() };
+    let ended = on_runtime(async {
+        let (((_wanted, wanted), (_call_off, called_off)), until) =
+            ((watch::channel(true), oneshot::channel()), Instant::now() + LONG);
+        let order = Order { number: 0, until, begin_by: until, called_off, wanted };
+        lanespan_gateway::backend::attempt(&pool, &whole(), &backend, &forward, order).await
+    });
+    assert_eq!(ended.outcome, Outcome::Reset, "nothing proves that it never ran");
+    assert!(!ended.outcome.never_ran());
+    reads_a_little.join().expect("no panic");
+    assert_eq!((pool.gauges().in_use, pool.gauges().idle), (0, 0), "its connection is gone");
+}
