--- a/crates/gateway/src/driver/tests.rs
+++ b/crates/gateway/src/driver/tests.rs
@@ -43,10 +43,15 @@
     let (call_off, called_off) = oneshot::channel();
     let (_wanted, wanted) = watch::channel(true);
     let order = backend::Order { number, until, begin_by: until, called_off, wanted };
+    let forward = forward();
+    (attempt(&driver.pool, &driver.relays, &backend, &forward, order).await, Attempt::new(Some(call_off)))
+}
+
+/// A request without a body.
+fn forward() -> Forward {
     let (method, uri) = (Method::GET, "/".parse().expect("a path"));
     let body = Payload::Whole(bytes::Bytes::new());
-    let forward = Forward { method, uri, headers: HeaderMap::new(), body, names: Rc::default() };
-    (attempt(&driver.pool, &driver.relays, &backend, &forward, order).await, Attempt::new(Some(call_off)))
+    Forward { method, uri, headers: HeaderMap::new(), body, names: Rc::default() }
 }
 
 fn driver() -> Driver {
@@ -106,9 +111,7 @@
             copies.push(ended);
             attempts.push(attempt);
         }
-        let (method, uri) = (Method::GET, "/".parse().expect("a path"));
-        let body = Payload::Whole(bytes::Bytes::new());
-        let forward = Forward { method, uri, headers: HeaderMap::new(), body, names: Rc::default() };
+        let forward = forward();
         let came = (ClassId(0), PlanId(0), Micros(0));
         driver.requests.insert(id, Open { attempts, ..Open::new(reply, forward, came) });
         assert!(copies.iter().all(|copy| matches!(copy.body, Some(Served::Long(_)))));
@@ -153,9 +156,7 @@
     ];
     for (way, end) in ends.into_iter().enumerate() {
         let mut driver = driver();
-        let (method, uri) = (Method::GET, "/".parse().expect("a path"));
-        let body = Payload::Whole(bytes::Bytes::new());
-        let forward = Forward { method, uri, headers: HeaderMap::new(), body, names: Rc::default() };
+        let forward = forward();
         let (reply, _answer) = oneshot::channel();
         let mut open = Open::new(reply, forward, (ClassId(0), PlanId(0), Micros(0)));
         let (call_off, _called_off) = oneshot::channel();
