The platform's file may hold any key; the gateway's own sections have a file of their own

At fault were `Document` with `deny_unknown_fields` for the platform's file as for an operator's (config/document.rs), and `problems::read`, which made a problem of each key that is not ours and of each of ours with another meaning. Not the one key `admin`: any key did it, at the top and within `limits`.

Change: who wrote a file decides. The gateway's own sections are read from an operator's file: `--config`, as before and as strictly, or LANESPAN_CONFIG beside the platform's. `config check` tells for whose it took a file. Lists are read entry by entry (`config::members`): a member that can't be read takes nothing new and keeps no other from being heard, as a list refused whole hides every drain of a large fleet for longer than 6 s. A class of an effect or scope that is not known is served and never repeated.

Tests: own sections went by NODE_CONFIG in tests and the lab, and go by `--config` now; that a wrong `seed` or `pool` ends a start is asserted of operators' files alone, and of the platform's that it does not. New ones at start, at SIGHUP, over drawn keys and values, and of odd members, as processes and in parts.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,9 +1,16 @@
 //! What the platform tells a gateway: the environment and the configuration file.
 
 pub mod document;
+mod members;
 pub mod plan;
+mod platform;
 pub(crate) mod problems;
 mod site;
+mod source;
+
+pub use members::{Member, MemberList, Phase};
+pub use platform::PassedOver;
+pub use source::{Origin, Source};
 
 use super::config_error::ConfigError;
 use super::names::Names;
@@ -12,67 +19,14 @@
 use document::{AdminSection, Document, FleetSection};
 use lanespan_settings::{flatten, Fields, Site};
 use plan::PlanSettings;
-use serde::Deserialize;
+use platform::Sifted;
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::fmt;
-use std::io::Read;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Discovery's form of the list of backends, whole or as changes.
-#[derive(Debug, Clone, Default, Deserialize)]
-pub struct MemberList {
-    /// The list's version.
-    pub revision: u64,
-    /// It holds every member, not just those that changed.
-    #[serde(default)]
-    pub complete: bool,
-    /// The entries.
-    pub members: Vec<Member>,
-}
-
-/// One backend, as discovery tells of it.
-#[derive(Debug, Clone, Deserialize)]
-pub struct Member {
-    /// Its name, the same at every gateway.
-    pub id: String,
-    /// Where it listens, as seen from this gateway.
-    pub host_port: SocketAddr,
-    /// Its zone.
-    #[serde(default)]
-    pub locality: String,
-    /// Its cell.
-    #[serde(default)]
-    pub cell: u64,
-    /// Whether it takes work.
-    pub phase: Phase,
-    /// Its size against the others.
-    #[serde(default = "one")]
-    pub size: f64,
-    /// When it last started, Unix time in milliseconds; 0: long ago.
-    #[serde(default)]
-    pub up_since_ms: u64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-/// Whether a backend takes work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Phase {
-    /// It takes work.
-    Ready,
-    /// It finishes what it has.
-    Draining,
-    /// It was taken away.
-    Gone,
-}
-
 /// What a new configuration may change: the services that a gateway calls, and the bounds on its connections to
 /// backends and on streams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -96,80 +50,9 @@
     }
 }
 
-/// A file is read up to this length. Guards memory against one that is no configuration.
-const LONGEST: u64 = 32 << 20;
 /// What SIGHUP can't change; named in the log where a new file asks for it.
 const FIXED: [&str; 7] = ["name", "listen", "limits", "names", "admin", "fleet", "settings"];
 
-/// Where a configuration is read, and what the environment says of it, which goes before the file.
-#[derive(Debug, Clone, Default)]
-pub struct Source {
-    /// The file: TOML where its name ends so, else JSON.
-    pub path: PathBuf,
-    /// NODE_NAME.
-    pub name: Option<String>,
-    /// NODE_LISTEN.
-    pub listen: Option<SocketAddr>,
-    /// NODE_DISCOVERY.
-    pub discovery: Option<SocketAddr>,
-    /// LANESPAN_NAMES.
-    pub names: Option<PathBuf>,
-}
-
-impl Source {
-    /// Reads the file and all that it says.
-    pub fn read(&self) -> Result<Config, ConfigError> {
-        let read = text(&self.path).and_then(|text| {
-            let value = match self.path.extension().is_some_and(|suffix| suffix == "toml") {
-                true => toml::from_str::<Value>(&text).map_err(|e| one_line(&e.to_string())),
-                false => serde_json::from_str::<Value>(&text).map_err(|e| e.to_string()),
-            };
-            Config::of(value.map_err(ConfigError::new)?, self)
-        });
-        read.map_err(|error| error.at(&self.path.display().to_string()))
-    }
-
-    /// Reads the file again. It goes before the environment, which is as it was at the start.
-    pub fn read_again(&self) -> Result<Config, ConfigError> {
-        Source { discovery: None, ..self.clone() }.read()
-    }
-
-    /// The names that the deployment gives to what goes over its sockets.
-    fn names(&self, told: &Value) -> Result<Names, ConfigError> {
-        let Some(path) = &self.names else {
-            // One that is no section is told with the others.
-            let section = told.get("names").filter(|names| !names.is_null() && !names.is_array());
-            return section.map_or_else(|| Ok(Names::default()), Names::of);
-        };
-        let read = text(path).and_then(|text| {
-            let value = serde_json::from_str(&text).map_err(|e| ConfigError::new(e.to_string()))?;
-            Names::of(&value)
-        });
-        read.map_err(|error| error.at(&path.display().to_string()))
-    }
-}
-
-/// A file's text.
-fn text(path: &Path) -> Result<String, ConfigError> {
-    let told = |error: std::io::Error| ConfigError::new(error.to_string());
-    let mut bytes = Vec::new();
-    let file = std::fs::File::open(path).map_err(told)?;
-    file.take(LONGEST + 1).read_to_end(&mut bytes).map_err(told)?;
-    if bytes.len() as u64 > LONGEST {
-        return Err(ConfigError::new(format!("longer than {} MiB", LONGEST >> 20)));
-    }
-    let text = String::from_utf8(bytes).map_err(|_| ConfigError::new("not UTF-8".into()))?;
-    match text.trim().is_empty() {
-        true => Err(ConfigError::new("empty".into())),
-        false => Ok(text),
-    }
-}
-
-/// What a parser says over several lines.
-fn one_line(text: &str) -> String {
-    text.lines().map(str::trim).filter(|line| !line.is_empty()).collect::<Vec<_>>().join(" ")
-}
-
 /// All that a gateway is told at its start.
 pub struct Config {
     pub(crate) name: String,
@@ -190,6 +73,10 @@
     pub(crate) fleet: Option<FleetSettings>,
     /// What the deployment calls things on its sockets.
     pub(crate) names: Names,
+    /// The classes, by their numbers, of which it is not known what they do.
+    pub(crate) unknown_effects: HashSet<usize>,
+    /// What was told and not used.
+    passed_over: PassedOver,
     /// As it stood in the file.
     told: Value,
 }
@@ -322,6 +209,11 @@
         Upstreams { discovery, counter, pool, streaming, file }
     }
 
+    /// What was told and not used.
+    pub fn passed_over(&self) -> &PassedOver {
+        &self.passed_over
+    }
+
     /// Where operators reach it.
     pub fn admin(&self) -> Option<SocketAddr> {
         self.admin.as_ref().map(|admin| admin.listen)
@@ -387,20 +279,45 @@
         Config::of(value, &Source::default())
     }
 
-    /// Reads a configuration and tells all that is wrong with it.
+    /// Reads an operator's configuration.
+    ///
+    /// # Errors
+    ///
+    /// All that is wrong with it.
     pub fn of(told: Value, source: &Source) -> Result<Config, ConfigError> {
+        Config::build(told, source, PassedOver::default())
+    }
+
+    /// Reads what was sifted from the platform's configuration.
+    fn of_platform(sifted: Sifted, source: &Source) -> Result<Config, ConfigError> {
+        Config::build(sifted.document, source, sifted.passed_over)
+    }
+
+    fn build(mut told: Value, source: &Source, mut passed_over: PassedOver) -> Result<Config, ConfigError> {
         let (names, mut wrong) = match source.names(&told) {
             Ok(names) => (names, Vec::new()),
             Err(error) => (Names::default(), error.lines().to_vec()),
         };
-        let mut here = told.clone();
-        if let Some(known) = here.get_mut("known") {
-            *known = names.list(known.take());
-        }
-        let (document, mut problems) = problems::read::<Document>(here, &document::SECTIONS);
+        let known = told.as_object_mut().and_then(|fields| fields.remove("known"));
+        let (document, mut problems) = problems::read::<Document>(told.clone(), &document::SECTIONS);
         problems.append(&mut wrong);
         let Some(document) = document else { return Err(problems.into()) };
-        let Document { limits, counter, known, settings, .. } = document;
+        let told_to = match source.origin {
+            Origin::Operator => &mut problems,
+            Origin::Platform => &mut passed_over.unreadable,
+        };
+        let known = match read_known(known, &names) {
+            Ok((known, None)) => known,
+            Ok((known, Some(problem))) => {
+                told_to.push(problem);
+                known
+            }
+            Err(problem) => {
+                told_to.push(problem);
+                MemberList::default()
+            }
+        };
+        let Document { limits, counter, settings, .. } = document;
         let seed = match document.seed.map(|seed| u64::from_str_radix(&seed, 16).map_err(|_| seed)) {
             Some(Ok(seed)) => seed,
             None => fastrand::u64(..),
@@ -412,7 +329,7 @@
         let listen = there(&mut problems, "listen", source.listen.or(document.listen));
         let discovery = there(&mut problems, "discovery", source.discovery.or(document.discovery));
         let place = match settings.is_object() {
-            true => Place::read(&settings, &mut problems),
+            true => Place::read(&settings, &mut problems, source.origin),
             false => {
                 // One that is a list was told before.
                 if !problems.iter().any(|told| told.starts_with("settings: ")) {
@@ -422,7 +339,10 @@
                 None
             }
         };
-        let Some(Place { site, dial_timeout, conn_idle }) = place else { return Err(problems.into()) };
+        let Some(Place { site, dial_timeout, conn_idle, notes, unknown_effects }) = place else {
+            return Err(problems.into());
+        };
+        passed_over.unreadable.extend(notes);
         if site.settings.counter {
             there(&mut problems, "counter", counter);
         }
@@ -460,6 +380,8 @@
                 admin: document.admin,
                 fleet,
                 names,
+                unknown_effects,
+                passed_over,
                 told,
             }),
             _ => Err(problems.into()),
@@ -479,23 +401,40 @@
 /// Stands for an address that is missing, which is told.
 const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
 
+/// The list of backends that the file has from before, with what is wrong with some of its entries.
+fn read_known(known: Option<Value>, names: &Names) -> Result<(MemberList, Option<String>), String> {
+    let Some(known) = known else { return Ok((MemberList::default(), None)) };
+    let known = names.list(known);
+    let list = MemberList::read(&known)
+        .map_err(|problem| format!("known: {problem}, found {}", problems::shown(&known)))?;
+    let wrong = (list.unreadable > 0)
+        .then(|| format!("known.members: expected backends, found {} that can't be read", list.unreadable));
+    Ok((list, wrong))
+}
+
 /// What the settings say.
 struct Place {
     site: Site,
     dial_timeout: Duration,
     conn_idle: Duration,
+    /// What is taken in another way than it was told, a line each.
+    notes: Vec<String>,
+    unknown_effects: HashSet<usize>,
 }
 
 impl Place {
     /// Reads the settings. What can't be read is told and left out, as long as it may be absent.
-    fn read(settings: &Value, told: &mut Vec<String>) -> Option<Place> {
+    fn read(settings: &Value, told: &mut Vec<String>, origin: Origin) -> Option<Place> {
         let mut names = BTreeMap::new();
         flatten("", settings, &mut names);
-        let mut left_out = site::put_right(&mut names, told);
+        let put = site::put_right(&mut names, told, origin);
+        let mut left_out = put.wrong;
         while told.len() < problems::MOST {
             let pairs = names.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
             let error = match Place::of(&Fields { place: "settings".into(), message: "settings", pairs }) {
-                Ok(place) => return Some(place),
+                Ok(place) => {
+                    return Some(Place { notes: put.notes, unknown_effects: put.unknown_effects, ..place })
+                }
                 Err(error) => error,
             };
             let wrong = error.strip_prefix("settings: ").and_then(|rest| rest.split(':').next());
@@ -519,6 +458,8 @@
             fields.micros_or(name, default).map(|m| Duration::from_micros(m.0)).map_err(plain)
         };
         let dial_timeout = span("bounds.dial_timeout", 250_000)?;
-        Ok(Place { site, dial_timeout, conn_idle: span("bounds.conn_idle", 15_000_000)? })
+        let conn_idle = span("bounds.conn_idle", 15_000_000)?;
+        let (notes, unknown_effects) = Default::default();
+        Ok(Place { site, dial_timeout, conn_idle, notes, unknown_effects })
     }
 }
--- a/crates/gateway/src/config/document.rs
+++ b/crates/gateway/src/config/document.rs
@@ -1,7 +1,6 @@
 //! The configuration file: its keys, what each may hold, and what holds where a key is absent. The reference in
 //! docs/configuration.md and the schema are made from these.
 
-use super::MemberList;
 use schemars::JsonSchema;
 use serde::de::Error;
 use serde::{Deserialize, Deserializer, Serialize};
@@ -35,10 +34,17 @@
     }
 }
 
+impl<const MOST: u64> Whole<MOST> {
+    /// Reads one; `None` if it is none, or out of its range.
+    pub fn read(value: &Value) -> Option<Self> {
+        value.as_u64().filter(|number| (1..=MOST).contains(number)).map(Whole)
+    }
+}
+
 impl<'de, const MOST: u64> Deserialize<'de> for Whole<MOST> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let number = Value::deserialize(deserializer)?.as_u64().filter(|n| (1..=MOST).contains(n));
-        number.map(Whole).ok_or_else(|| D::Error::custom(format!("expected a whole number from 1 to {MOST}")))
+        let number = Whole::read(&Value::deserialize(deserializer)?);
+        number.ok_or_else(|| D::Error::custom(format!("expected a whole number from 1 to {MOST}")))
     }
 }
 
@@ -72,7 +78,7 @@
     pub counter: Option<SocketAddr>,
     /// The list of backends as it was last known, in discovery's form.
     #[schemars(with = "Value")]
-    pub known: MemberList,
+    pub known: Value,
     /// What the deployment calls headers, paths, fields and states, in the platform's form. A file that LANESPAN_NAMES
     /// names goes before it; absent: the names of the protocol.
     #[schemars(with = "Value")]
--- /dev/null
+++ b/crates/gateway/src/config/members.rs
@@ -0,0 +1,156 @@
+//! The list of backends as discovery tells it, read entry by entry: one that can't be understood never keeps the
+//! others from being heard.
+
+use serde_json::{Map, Value};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+/// Stands for the address of a backend that takes nothing new, where none can be read.
+const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+const DEFAULT_SIZE: f64 = 1.0;
+
+/// Discovery's form of the list of backends, whole or as changes.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct MemberList {
+    /// The list's version.
+    pub revision: u64,
+    /// It holds every member, not just those that changed.
+    pub complete: bool,
+    /// The entries. Those that could not be read whole but have a name are here as `Phase::Draining`.
+    pub members: Vec<Member>,
+    /// How many entries could not be read whole.
+    pub unreadable: usize,
+}
+
+/// One backend, as discovery tells of it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Member {
+    /// Its name, the same at every gateway.
+    pub id: String,
+    /// Where it listens, as seen from this gateway.
+    pub host_port: SocketAddr,
+    /// Its zone.
+    pub locality: String,
+    /// Its cell.
+    pub cell: u64,
+    /// Whether it takes work.
+    pub phase: Phase,
+    /// Its size against the others.
+    pub size: f64,
+    /// When it last started, Unix time in milliseconds; 0: long ago.
+    pub up_since_ms: u64,
+}
+
+/// Whether a backend takes work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// It takes work.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+    /// It was taken away.
+    Gone,
+}
+
+impl Phase {
+    fn read(value: &Value) -> Option<Phase> {
+        match value.as_str()? {
+            "ready" => Some(Phase::Ready),
+            "draining" => Some(Phase::Draining),
+            "gone" => Some(Phase::Gone),
+            _ => None,
+        }
+    }
+}
+
+impl MemberList {
+    /// Reads a list that goes by the protocol's names.
+    ///
+    /// # Errors
+    ///
+    /// What it lacks to be a list. A whole list none of whose entries can be read is no list either: believing it
+    /// would leave this gateway without backends.
+    pub fn read(value: &Value) -> Result<MemberList, &'static str> {
+        let fields = value.as_object().ok_or("expected an object")?;
+        let revision = fields.get("revision").and_then(Value::as_u64);
+        let complete = match fields.get("complete") {
+            None | Some(Value::Null) => Some(false),
+            Some(flag) => flag.as_bool(),
+        };
+        let entries = fields.get("members").and_then(Value::as_array).ok_or("expected a list of members")?;
+        let mut list = MemberList {
+            revision: revision.ok_or("expected a revision")?,
+            complete: complete.ok_or("expected complete to be true or false")?,
+            members: Vec::with_capacity(entries.len()),
+            unreadable: 0,
+        };
+        for entry in entries {
+            list.add(entry);
+        }
+        if list.complete && list.unreadable > 0 && list.unreadable == entries.len() {
+            return Err("expected members, and none can be read");
+        }
+        Ok(list)
+    }
+
+    fn add(&mut self, entry: &Value) {
+        let Some(fields) = entry.as_object() else {
+            self.unreadable += 1;
+            return;
+        };
+        let member = Member::read(fields).or_else(|| {
+            self.unreadable += 1;
+            Member::withdrawn(fields)
+        });
+        self.members.extend(member);
+    }
+}
+
+impl Member {
+    /// Reads an entry. `None` where something that a rule depends on can't be read: its phase, address, cell, or
+    /// when it started. Zone and size only decide preferences, so their defaults stand in.
+    fn read(fields: &Map<String, Value>) -> Option<Member> {
+        let phase = Phase::read(fields.get("phase")?)?;
+        let address = fields.get("host_port").and_then(Value::as_str).and_then(|text| text.parse().ok());
+        let host_port = match phase {
+            Phase::Ready => address?,
+            Phase::Draining | Phase::Gone => address.unwrap_or(NO_ADDRESS),
+        };
+        Some(Member {
+            id: identity(fields)?,
+            host_port,
+            locality: fields.get("locality").and_then(Value::as_str).unwrap_or_default().to_string(),
+            cell: whole_number(fields.get("cell"))?,
+            phase,
+            size: fields.get("size").and_then(Value::as_f64).unwrap_or(DEFAULT_SIZE),
+            up_since_ms: whole_number(fields.get("up_since_ms"))?,
+        })
+    }
+
+    /// An entry of which only the name can be read. Nobody knows whether it may be sent to, so nothing new is.
+    fn withdrawn(fields: &Map<String, Value>) -> Option<Member> {
+        Some(Member {
+            id: identity(fields)?,
+            host_port: NO_ADDRESS,
+            locality: String::new(),
+            cell: 0,
+            phase: Phase::Draining,
+            size: DEFAULT_SIZE,
+            up_since_ms: 0,
+        })
+    }
+}
+
+fn identity(fields: &Map<String, Value>) -> Option<String> {
+    fields.get("id").and_then(Value::as_str).filter(|id| !id.is_empty()).map(str::to_string)
+}
+
+/// A number that may be absent, which stands for 0.
+fn whole_number(value: Option<&Value>) -> Option<u64> {
+    match value {
+        None | Some(Value::Null) => Some(0),
+        Some(value) => value.as_u64(),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/config/platform/tests.rs
@@ -0,0 +1,180 @@
+use super::*;
+use crate::config::{Config, Origin, Source};
+use proptest::prelude::*;
+use serde_json::json;
+use std::path::PathBuf;
+
+/// A platform's file as its pages show it.
+fn shown() -> Value {
+    json!({"name": "n3", "listen": "10.0.0.4:8081", "discovery": "10.2.0.1:8500", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 2048, "sockets": 4096}, "counter": "10.2.0.2:6400",
+        "known": {"revision": 41, "complete": true, "members": [
+            {"id": "s-1", "host_port": "10.1.0.18:8081", "phase": "ready"}]},
+        "settings": {"balancers": 2, "my_number": 0, "bounds": {"max_attempts": 3},
+            "classes": [{"name": "look", "effect": "pure", "deadline": 4_000_000}],
+            "plans": [{"name": "team", "per_second": 10.0, "peak_units": 10.0}],
+            "specifics": {"counter": true, "count_limit": 300_000, "units_top": 4}}})
+}
+
+fn source() -> Source {
+    Source { path: PathBuf::from("config.json"), origin: Origin::Platform, ..Source::default() }
+}
+
+fn read(file: Value, source: &Source) -> Result<Config, ConfigError> {
+    let overrides = Overrides { listen: source.listen.is_some(), discovery: source.discovery.is_some() };
+    Config::of_platform(sift(file, overrides)?, source)
+}
+
+/// What a gateway makes of a file, to be compared.
+fn made_of(file: Value) -> Value {
+    read(file, &source()).unwrap_or_else(|error| panic!("{error}")).shown()
+}
+
+/// JSON of any kind, a few levels deep.
+fn any_json() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        "\\PC{0,12}".prop_map(Value::from),
+        Just(json!("10.0.0.1:9901")),
+    ];
+    leaf.prop_recursive(3, 24, 4, |inner| {
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..4).prop_map(Value::from),
+            prop::collection::btree_map(any_key(), inner, 0..4)
+                .prop_map(|fields| Value::Object(fields.into_iter().collect())),
+        ]
+    })
+}
+
+/// Names of any kind, with this gateway's own among them.
+fn any_key() -> impl Strategy<Value = String> {
+    let ours = ["admin", "fleet", "pool", "streaming", "names", "listen", "links", "plan", "lanespan"];
+    prop_oneof![3 => prop::sample::select(ours.map(str::to_string).to_vec()), 2 => "\\PC{0,8}"]
+}
+
+proptest! {
+    #[test]
+    fn no_key_that_the_platform_adds_changes_what_is_read(
+        outside in prop::collection::btree_map(any_key(), any_json(), 0..6),
+        in_limits in prop::collection::btree_map(any_key(), any_json(), 0..4),
+        in_known in prop::collection::btree_map(any_key(), any_json(), 0..4),
+        in_member in prop::collection::btree_map(any_key(), any_json(), 0..4),
+        in_class in prop::collection::btree_map("x[a-z]{0,6}", any_json(), 0..4),
+    ) {
+        let plain = made_of(shown());
+        let mut file = shown();
+        let add = |place: &mut Value, extra: std::collections::BTreeMap<String, Value>| {
+            let fields = place.as_object_mut().expect("an object");
+            for (key, value) in extra {
+                fields.entry(key).or_insert(value);
+            }
+        };
+        add(&mut file, outside);
+        add(&mut file["limits"], in_limits);
+        add(&mut file["known"], in_known);
+        add(&mut file["known"]["members"][0], in_member);
+        add(&mut file["settings"]["classes"][0], in_class);
+        let mut made = made_of(file);
+        // Shown as they were told; whatever is read of them is the same.
+        made["settings"] = plain["settings"].clone();
+        prop_assert_eq!(made, plain);
+    }
+
+    #[test]
+    fn limits_known_seed_and_name_of_any_shape_end_no_start(
+        limits in any_json(), known in any_json(), seed in any_json(), name in any_json(), memory in any_json(),
+    ) {
+        let mut file = shown();
+        file["limits"] = limits;
+        file["known"] = known;
+        file["seed"] = seed;
+        file["name"] = name;
+        prop_assert!(read(file, &source()).is_ok());
+        let mut file = shown();
+        file["limits"]["memory_mb"] = memory;
+        prop_assert!(read(file, &source()).is_ok());
+    }
+}
+
+#[test]
+fn keys_that_are_not_defined_are_named_and_those_that_can_not_be_read_are_told() {
+    let mut file = shown();
+    file["admin"] = json!("10.0.0.1:9901");
+    file["limits"]["disk_mb"] = json!(5);
+    file["limits"]["memory_mb"] = json!("much");
+    file["seed"] = json!(17);
+    file["known"]["members"] = json!("none");
+    let config = read(file, &source()).expect("it starts");
+    assert_eq!(config.passed_over().names(), "admin, limits.disk_mb");
+    let told = config.passed_over().unreadable.join("\n");
+    for line in [
+        "limits.memory_mb: expected a number in its range, found \"much\"; the default holds",
+        "seed: expected 16 hex digits, found 17; the default holds",
+        "known: expected a list of members, found ",
+    ] {
+        assert!(told.contains(line), "{line}: {told}");
+    }
+    assert_eq!(config.shown()["memory_bytes"], json!(192 << 20));
+}
+
+#[test]
+fn what_a_gateway_can_not_start_without_is_still_told_key_by_key() {
+    for (key, value, line) in [
+        ("discovery", json!(7), "discovery: expected an address and a port, found 7"),
+        ("listen", json!({"port": 8081}), "listen: "),
+        ("counter", json!("far away"), "counter: expected an address and a port, found \"far away\""),
+        ("settings", json!([]), "settings: expected an object, found []"),
+        ("settings", json!("later"), "settings: expected an object, found \"later\""),
+    ] {
+        let mut file = shown();
+        file[key] = value;
+        let error = read(file, &source()).err().unwrap_or_else(|| panic!("{key} is needed"));
+        assert!(error.lines().len() == 1 && error.lines()[0].contains(line), "{line}: {error}");
+    }
+    let elsewhere = "127.0.0.1:1".parse().expect("an address");
+    let told = Source { listen: Some(elsewhere), discovery: Some(elsewhere), ..source() };
+    let mut file = shown();
+    (file["listen"], file["discovery"]) = (json!(7), json!({}));
+    file["settings"]["specifics"]["counter"] = json!(false);
+    file["counter"] = json!([]);
+    assert!(read(file, &told).is_ok(), "what the environment says, or nobody asks for, may be anything");
+}
+
+#[test]
+fn an_effect_or_scope_that_is_not_known_is_never_repeated_and_ends_no_start() {
+    for (key, value, unknown) in [
+        ("effect", json!("idempotent_after_2027"), 1),
+        ("effect", json!(["pure"]), 0),
+        ("effect", json!({"kind": "pure"}), 1),
+        ("key_scope", json!("planet"), 0),
+        ("key_scope", Value::Null, 0),
+    ] {
+        let mut file = shown();
+        let class = &mut file["settings"]["classes"][0];
+        class["effect"] = json!("token");
+        class["window"] = json!(1_000_000);
+        class["key_scope"] = json!("all");
+        class[key] = value.clone();
+        let config = read(file, &source()).unwrap_or_else(|error| panic!("{value}: {error}"));
+        let careful = value != json!(["pure"]);
+        let wanted =
+            if careful { lanespan_policy::api::Effect::Unsafe } else { lanespan_policy::api::Effect::Safe };
+        assert_eq!(config.site.settings.classes[0].effect, wanted, "{value}");
+        assert_eq!(config.unknown_effects.len(), unknown, "{value}");
+        assert_eq!(!config.passed_over().unreadable.is_empty(), careful, "{value} is told");
+    }
+}
+
+#[test]
+fn a_file_with_many_keys_is_told_in_one_bounded_line() {
+    let mut file = shown();
+    for number in 0..500 {
+        file[format!("key\n{number:03}{}", "x".repeat(200))] = json!(number);
+    }
+    let names = read(file, &source()).expect("it starts").passed_over().names();
+    assert!(!names.contains('\n') && names.len() < 3000, "{}", names.len());
+    assert!(names.ends_with(" and 450 more"), "{names}");
+}
--- a/crates/gateway/src/config/problems.rs
+++ b/crates/gateway/src/config/problems.rs
@@ -76,11 +76,7 @@
 
 fn wrong_value(value: &Value, path: &[String], message: &str) -> String {
     let found = path.iter().try_fold(value, |value, key| value.get(key)).unwrap_or(&Value::Null);
-    let text = found.to_string();
-    let shown = match text.char_indices().nth(SHOWN) {
-        Some((end, _)) => format!("{}...", &text[..end]),
-        None => text,
-    };
+    let shown = shown(found);
     let wanted = match message {
         m if m.contains("expected struct") => AN_OBJECT,
         m if m.contains("expected a boolean") => "expected true or false",
@@ -91,6 +87,15 @@
     format!("{place}: {wanted}, found {shown}")
 }
 
+/// A value as JSON, cut short.
+pub(super) fn shown(value: &Value) -> String {
+    let text = value.to_string();
+    match text.char_indices().nth(SHOWN) {
+        Some((end, _)) => format!("{}...", &text[..end]),
+        None => text,
+    }
+}
+
 fn leave_out(value: &mut Value, path: &[String]) -> bool {
     let Some((last, before)) = path.split_last() else { return false };
     let holder = before.iter().try_fold(value, |value, key| value.get_mut(key));
--- a/crates/gateway/src/config_error.rs
+++ b/crates/gateway/src/config_error.rs
@@ -22,6 +22,13 @@
     }
 }
 
+impl ConfigError {
+    /// The same, with where each of its lines stands.
+    pub(crate) fn at_each(self, place: impl Fn(&str) -> String) -> ConfigError {
+        ConfigError(self.0.into_iter().map(|line| format!("{}: {line}", place(&line))).collect())
+    }
+}
+
 impl From<Vec<String>> for ConfigError {
     fn from(lines: Vec<String>) -> ConfigError {
         ConfigError(lines)
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -38,6 +38,7 @@
     let mut wait = backoff.first();
     let mut connection = None;
     let mut silent = false;
+    let mut unreadable = 0;
     loop {
         let told = tokio::select! {
             biased;
@@ -73,6 +74,16 @@
                 backoff.reset();
                 wait = Duration::ZERO;
                 revision = Some(list.revision);
+                // Told when it changes: a list that is told often may hold the same odd entry each time.
+                if std::mem::replace(&mut unreadable, list.unreadable) != list.unreadable
+                    && list.unreadable > 0
+                {
+                    let (entries, revision) = (list.unreadable, list.revision);
+                    warn!(
+                        entries,
+                        revision, "discovery told entries that can't be read; nothing new is sent there"
+                    );
+                }
                 if inbox.send(Input::Members(list)).await.is_err() {
                     return;
                 }
@@ -123,5 +134,5 @@
         return Err("not answered with 200");
     }
     let list = serde_json::from_slice(answer.body()).map_err(|_| "not JSON")?;
-    serde_json::from_value(names.list(list)).map_err(|_| "not a list of members")
+    MemberList::read(&names.list(list))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,7 +25,7 @@
 use driver::{Clock, Driver};
 use fleet::{Fleet, Told};
 use plan::Plan;
-use server::{Front, TimeIsUp};
+use server::{Front, KnownClass, TimeIsUp};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -73,7 +73,9 @@
     let (listen, sockets) = (config.listen, config.sockets);
     let classes = config.site.classes.iter().map(|(name, &i)| {
         let class = &config.site.settings.classes[i];
-        (name.clone(), (lanespan_policy::api::ClassId(i), class.effect, class.deadline))
+        let effect = (!config.unknown_effects.contains(&i)).then_some(class.effect);
+        let known = KnownClass { id: lanespan_policy::api::ClassId(i), effect, deadline: class.deadline };
+        (name.clone(), known)
     });
     let classes = classes.collect();
     let plans =
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -52,6 +52,17 @@
 const LINGER: Duration = Duration::from_secs(2);
 const LINGER_BYTES: usize = 256 * 1024;
 
+/// What requests of a class must be.
+#[derive(Debug, Clone, Copy)]
+pub struct KnownClass {
+    /// Its number.
+    pub id: ClassId,
+    /// What they do, which decides their method; `None` if that is not known, so any method may be right.
+    pub effect: Option<Effect>,
+    /// The longest that a client waits.
+    pub deadline: Micros,
+}
+
 /// What all connections of clients share.
 pub struct Front {
     /// The way to the driver.
@@ -60,8 +71,8 @@
     pub clock: Clock,
     /// The list of backends is in hand.
     pub ready: Rc<Cell<bool>>,
-    /// The names of classes, with what they may do and the longest wait.
-    pub classes: HashMap<String, (ClassId, Effect, Micros)>,
+    /// The classes by their names.
+    pub classes: HashMap<String, KnownClass>,
     /// The names of plans.
     pub plans: HashMap<String, PlanId>,
     /// The most units that a request may take.
--- a/crates/gateway/src/server/asked.rs
+++ b/crates/gateway/src/server/asked.rs
@@ -48,7 +48,7 @@
             return Err(bad("a header stands twice\n"));
         }
         let named = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
-        let (class, effect, longest) = named(&here.class)
+        let class = named(&here.class)
             .and_then(|class| front.classes.get(class))
             .ok_or_else(|| bad("the class: expected a known one\n"))?;
         let plan = named(&here.plan).and_then(|plan| front.plans.get(plan));
@@ -62,19 +62,20 @@
             .ok_or_else(|| bad("the quota: expected units, spread and first in their ranges\n"))?;
         let call = headers.get(&here.call).filter(|id| !id.is_empty()).cloned();
         let call = call.ok_or_else(|| bad("the call: expected an id\n"))?;
-        let (wanted, keyed) = match effect {
-            Effect::Safe => (Method::GET, false),
-            Effect::Keyed => (Method::POST, true),
-            Effect::Unsafe => (Method::POST, false),
+        let (wanted, keyed) = match class.effect {
+            Some(Effect::Safe) => (Some(Method::GET), false),
+            Some(Effect::Keyed) => (Some(Method::POST), true),
+            Some(Effect::Unsafe) => (Some(Method::POST), false),
+            None => (None, false),
         };
-        if *method != wanted {
+        if wanted.is_some_and(|wanted| *method != wanted) {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "not this class's method\n"));
         }
         if keyed && headers.get("idempotency-key").is_none_or(|key| key.is_empty()) {
             return Err(bad("Idempotency-Key: expected a key\n"));
         }
         let arrival = Arrival {
-            class: *class,
+            class: class.id,
             plan: *plan,
             customer,
             spread,
@@ -84,7 +85,7 @@
             ..Arrival::default()
         };
         // No client waits longer than its class says.
-        let budget = Micros(budget.saturating_mul(1000)).min(*longest);
+        let budget = Micros(budget.saturating_mul(1000)).min(class.deadline);
         Ok(Asked { arrival, call, budget })
     }
 }
--- a/crates/gateway/src/server/tests.rs
+++ b/crates/gateway/src/server/tests.rs
@@ -6,6 +6,10 @@
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
+fn class(effect: Effect) -> KnownClass {
+    KnownClass { id: ClassId(0), effect: Some(effect), deadline: Micros(8_000_000) }
+}
+
 fn front(stopping: watch::Receiver<bool>) -> Front {
     Front {
         inbox: mpsc::channel(1).0,
@@ -39,7 +43,7 @@
 async fn failed_before_sigkill(longest: Duration, killed: Duration) {
     let (stop, stopping) = watch::channel(false);
     let (inbox, mut driver) = mpsc::channel(1);
-    let classes = [("buy".to_string(), (ClassId(0), Effect::Unsafe, Micros(8_000_000)))].into();
+    let classes = [("buy".to_string(), class(Effect::Unsafe))].into();
     let plans = [("team".to_string(), PlanId(0))].into();
     let last_answer = last_answer(longest);
     let front = Rc::new(Front { inbox, classes, plans, last_answer, ..front(stopping) });
@@ -87,7 +91,7 @@
     async fn new() -> Crossing {
         let (stop, stopping) = watch::channel(false);
         let (inbox, driver) = mpsc::channel(8);
-        let classes = [("look".to_string(), (ClassId(0), Effect::Safe, Micros(8_000_000)))].into();
+        let classes = [("look".to_string(), class(Effect::Safe))].into();
         let plans = [("team".to_string(), PlanId(0))].into();
         let front = Rc::new(Front { inbox, classes, plans, ..front(stopping) });
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/crates/lab/src/gateway.rs
+++ b/crates/lab/src/gateway.rs
@@ -128,7 +128,7 @@
         let file = self.directory.join(format!("{}.json", self.name));
         std::fs::write(&file, self.config.borrow().to_string()).map_err(told)?;
         let mut command = Command::new(&*self.program.borrow());
-        command.arg("run").env("NODE_CONFIG", &file).stdin(Stdio::null()).stdout(Stdio::null());
+        command.arg("run").arg("--config").arg(&file).stdin(Stdio::null()).stdout(Stdio::null());
         for name in ["NODE_LISTEN", "NODE_DISCOVERY", "NODE_NAME"] {
             command.env_remove(name);
         }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -78,7 +78,7 @@
     #[command(hide = true)]
     Run {
         /// A gateway's file, in JSON
-        #[arg(long, env = "NODE_CONFIG")]
+        #[arg(long)]
         config: PathBuf,
     },
 }
--- a/crates/lanespan/src/cli.rs
+++ b/crates/lanespan/src/cli.rs
@@ -2,7 +2,7 @@
 
 use clap::{Args, CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
-use lanespan_gateway::config::Source;
+use lanespan_gateway::config::{Origin, Source};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -164,25 +164,29 @@
 
 #[derive(Args)]
 pub struct RunFile {
-    /// The configuration: TOML if its name ends so, else JSON
-    #[arg(long, value_name = "FILE", env = "NODE_CONFIG")]
-    pub config: PathBuf,
+    /// An operator's configuration: TOML if its name ends so, else JSON [default: the platform's, which NODE_CONFIG
+    /// names]
+    #[arg(long, value_name = "FILE")]
+    pub config: Option<PathBuf>,
 }
 
 #[derive(Args)]
 pub struct File {
-    /// The configuration: TOML if its name ends so, else JSON
-    #[arg(value_name = "FILE", env = "NODE_CONFIG")]
-    pub config: PathBuf,
+    /// The configuration: TOML if its name ends so, else JSON [default: the platform's, which NODE_CONFIG names]
+    #[arg(value_name = "FILE")]
+    pub config: Option<PathBuf>,
+    /// Read it as the platform's, which may hold any key
+    #[arg(long)]
+    pub platform: bool,
 }
 
 #[derive(Args)]
 pub struct Status {
     /// The gateway's admin address
-    #[arg(long, value_name = "ADDRESS", required_unless_present = "config")]
+    #[arg(long, value_name = "ADDRESS")]
     pub admin: Option<SocketAddr>,
-    /// Its configuration, which names the address
-    #[arg(long, value_name = "FILE", env = "NODE_CONFIG")]
+    /// Its configuration, which names the address [default: the platform's, which NODE_CONFIG names]
+    #[arg(long, value_name = "FILE")]
     pub config: Option<PathBuf>,
     /// Print JSON for programs
     #[arg(long)]
@@ -195,18 +199,28 @@
         if let Some(admin) = self.admin {
             return Ok(admin);
         }
-        let path = self.config.clone().unwrap_or_default();
-        let source = source(path.clone()).map_err(|problem| vec![problem])?;
+        let source = source(self.config.clone(), false).map_err(|problem| vec![problem])?;
         let config = source.read().map_err(|error| error.lines().to_vec())?;
+        let path = source.sections.as_ref().unwrap_or(&source.path);
         config.admin().ok_or_else(|| vec![format!("{}: admin: there is no such section", path.display())])
     }
 }
 
-/// The file with what the environment says.
-pub fn source(path: PathBuf) -> Result<Source, String> {
-    let name = std::env::var("NODE_NAME").ok();
-    let names = std::env::var_os("LANESPAN_NAMES").map(PathBuf::from);
-    Ok(Source { path, name, listen: address("NODE_LISTEN")?, discovery: address("NODE_DISCOVERY")?, names })
+/// The file that was named, or else the platform's, with what the environment says. A file that was named is an
+/// operator's unless it is said to be the platform's.
+pub fn source(named: Option<PathBuf>, platform: bool) -> Result<Source, String> {
+    let path_from = |variable| std::env::var_os(variable).map(PathBuf::from);
+    let origin = if named.is_some() && !platform { Origin::Operator } else { Origin::Platform };
+    let path = named.or_else(|| path_from("NODE_CONFIG"));
+    Ok(Source {
+        path: path.ok_or("name a configuration file, or set NODE_CONFIG to the platform's; see --help")?,
+        origin,
+        sections: path_from("LANESPAN_CONFIG").filter(|_| origin == Origin::Platform),
+        name: std::env::var("NODE_NAME").ok(),
+        listen: address("NODE_LISTEN")?,
+        discovery: address("NODE_DISCOVERY")?,
+        names: path_from("LANESPAN_NAMES"),
+    })
 }
 
 fn address(name: &str) -> Result<Option<SocketAddr>, String> {
--- a/crates/lanespan/src/main.rs
+++ b/crates/lanespan/src/main.rs
@@ -8,7 +8,7 @@
 
 use clap::Parser;
 use cli::{Command, ConfigCommand, FleetCommand, Lanespan};
-use lanespan_gateway::config::{document, Source};
+use lanespan_gateway::config::{document, Origin, Source};
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -21,15 +21,9 @@
 
 fn main() -> ExitCode {
     match Lanespan::parse().command {
-        Command::Run(file) => with(file.config, run::run),
-        Command::Config(ConfigCommand::Check(file)) => with(file.config, |source| match source.read() {
-            Ok(_) => print(&format!("{}: sound\n", source.path.display())),
-            Err(error) => wrong(error.lines()),
-        }),
-        Command::Config(ConfigCommand::Show(file)) => with(file.config, |source| match source.read() {
-            Ok(config) => print(&format!("{:#}\n", config.shown())),
-            Err(error) => wrong(error.lines()),
-        }),
+        Command::Run(file) => with(file.config, false, run::run),
+        Command::Config(ConfigCommand::Check(file)) => with(file.config, file.platform, check),
+        Command::Config(ConfigCommand::Show(file)) => with(file.config, file.platform, show),
         Command::Config(ConfigCommand::Example) => print(EXAMPLE),
         Command::Config(ConfigCommand::Schema) => print(&format!("{:#}\n", document::schema())),
         Command::Config(ConfigCommand::Reference) => print(&document::reference()),
@@ -57,9 +51,46 @@
     }
 }
 
-/// Does something with the file that was named.
-fn with(file: PathBuf, act: impl FnOnce(&Source) -> ExitCode) -> ExitCode {
-    match cli::source(file) {
+/// Tells whether a gateway starts with a file, and for whose it was taken.
+fn check(source: &Source) -> ExitCode {
+    let path = source.path.display();
+    let config = match source.read() {
+        Ok(config) => config,
+        Err(error) => {
+            let _ = print(&format!("{path}: {}\n", taken_for(source.origin)));
+            return wrong(error.lines());
+        }
+    };
+    let passed_over = config.passed_over();
+    let mut text = format!("{path}: sound\n{path}: {}\n", taken_for(source.origin));
+    if !passed_over.keys.is_empty() {
+        text.push_str(&format!("{path}: passed over, as not the gateway's: {}\n", passed_over.names()));
+    }
+    passed_over.unreadable.iter().for_each(|line| text.push_str(&format!("{path}: passed over: {line}\n")));
+    print(&text)
+}
+
+fn taken_for(origin: Origin) -> &'static str {
+    match origin {
+        Origin::Operator => {
+            "read as an operator's, in which every key is the gateway's; --platform reads the platform's"
+        }
+        Origin::Platform => {
+            "read as the platform's, in which keys that the gateway does not know are passed over"
+        }
+    }
+}
+
+fn show(source: &Source) -> ExitCode {
+    match source.read() {
+        Ok(config) => print(&format!("{:#}\n", config.shown())),
+        Err(error) => wrong(error.lines()),
+    }
+}
+
+/// Does something with the file that was named, or with the platform's.
+fn with(file: Option<PathBuf>, platform: bool, act: impl FnOnce(&Source) -> ExitCode) -> ExitCode {
+    match cli::source(file, platform) {
         Ok(source) => act(&source),
         Err(problem) => wrong(&[problem]),
     }
--- a/crates/lanespan/src/run.rs
+++ b/crates/lanespan/src/run.rs
@@ -1,6 +1,6 @@
 //! A running gateway: its start, SIGHUP and SIGTERM.
 
-use lanespan_gateway::config::{Config, Source};
+use lanespan_gateway::config::{Config, PassedOver, Source};
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
@@ -17,6 +17,7 @@
     // standard error otherwise, where it can't be written either.
     let log = tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr);
     log.log_internal_errors(false).init();
+    log_passed_over(config.passed_over());
     match until_stopped(config, source.clone()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -26,6 +27,22 @@
     }
 }
 
+/// Tells what a configuration holds that is not used: one line for the keys that are not this gateway's, and one for
+/// each value that can't be read.
+fn log_passed_over(passed_over: &PassedOver) {
+    let PassedOver { keys, unreadable } = passed_over;
+    if !keys.is_empty() {
+        let keys = passed_over.names();
+        info!(
+            keys,
+            "keys of the platform's file passed over; LANESPAN_CONFIG names a file with the gateway's own"
+        );
+    }
+    for problem in unreadable {
+        warn!(problem, "configuration: passed over");
+    }
+}
+
 fn until_stopped(config: Config, source: Source) -> Result<(), Box<dyn std::error::Error>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
@@ -48,6 +65,7 @@
             while hang_up.recv().await.is_some() {
                 match source.read_again() {
                     Ok(newer) => {
+                        log_passed_over(newer.passed_over());
                         let upstreams = newer.upstreams();
                         info!(%upstreams, "configuration read again");
                         let waits = newer.differs_from(&fixed);
