A client that goes behind pipelined bytes is noticed while its request waits

At fault: nothing else read the socket (`server::connection`).

Change: while a request waits for its answer, the connection's task reads ahead of hyper, 32 KiB at most, and ends the connection at the client's end or reset; hyper gets what was read ahead first (`tapped::Socket`). Behind more than 32 KiB and hyper's own buffer it is still not noticed: the protocol allows one request at a time, and dropping bytes could lose one.

Tests: gone and reset behind 1 byte to 30 KiB, and 300 pipelined requests answered in order. Without the line that polls, the first fails, the second holds. The test of a reset at shutdown sends twice as much, to be beyond what is read ahead now.

--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -1,7 +1,7 @@
 //! One HTTP/1.1 connection to a backend, the counter or discovery. It never sends anything by itself: a call
 //! is written once, and the caller learns whether any of it was.
 
-use super::tapped::{Tap, Tapped};
+use super::tapped::{Socket, Tap, Tapped};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -117,7 +117,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Outgoing>,
     machine: Pin<Box<Machine>>,
-    stream: Rc<RefCell<TcpStream>>,
+    socket: Rc<RefCell<Socket>>,
     traffic: Rc<Traffic>,
     closed: bool,
     /// When it was last given back unused.
@@ -132,8 +132,8 @@
 
     async fn over(stream: TcpStream) -> io::Result<Connection> {
         send_at_once(&stream);
-        let (stream, traffic) = (Rc::new(RefCell::new(stream)), Rc::<Traffic>::default());
-        let tapped = TokioIo::new(Tapped::new(stream.clone(), traffic.clone()));
+        let (socket, traffic) = (Rc::new(RefCell::new(Socket::new(stream))), Rc::<Traffic>::default());
+        let tapped = TokioIo::new(Tapped::new(socket.clone(), traffic.clone()));
         let (sender, machine) = http1::Builder::new()
             .max_buf_size(2 * MAX_BODY)
             .handshake(tapped)
@@ -142,7 +142,7 @@
         Ok(Connection {
             sender,
             machine: Box::pin(machine),
-            stream,
+            socket,
             traffic,
             closed: false,
             idle_since: Instant::now(),
@@ -159,7 +159,7 @@
     /// error or stray bytes that the runtime has not told of yet.
     pub fn is_quiet(&self) -> bool {
         let mut byte = [MaybeUninit::uninit(); 1];
-        let unread = SockRef::from(&*self.stream.borrow()).peek(&mut byte);
+        let unread = SockRef::from(&*self.socket.borrow_mut().stream()).peek(&mut byte);
         unread.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -9,7 +9,7 @@
 use crate::http::send_at_once;
 use crate::names::Names;
 use crate::relay::Relays;
-use crate::tapped::Tapped;
+use crate::tapped::{Socket, Tapped};
 use answering::respond;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
@@ -22,8 +22,8 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::io::{AsyncRead as _, AsyncWrite as _, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
@@ -202,14 +202,16 @@
         let (front, line) = (front.clone(), line.clone());
         async move { Ok::<_, Infallible>(respond(request, &front, &line).await) }
     });
-    let stream = Rc::new(RefCell::new(stream));
-    let followed = TokioIo::new(Tapped::new(stream.clone(), Followed(line.clone())));
+    let socket = Rc::new(RefCell::new(Socket::new(stream)));
+    let followed = TokioIo::new(Tapped::new(socket.clone(), Followed(line.clone())));
     let connection = http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(followed, service);
     let mut connection = std::pin::pin!(connection);
     let done = loop {
         tokio::select! {
             biased;
             done = connection.as_mut() => break done,
+            // Nobody waits for an answer any more: the request ends with the connection.
+            () = client_gone(&socket, line) => return,
             () = line.told.notified() => {
                 if line.cut.get() {
                     return;
@@ -232,8 +234,8 @@
     line.turn(Phase::Lingering);
     // What could not be read was answered with the writing side left open.
     let closing = async {
-        poll_fn(|cx| Pin::new(&mut *stream.borrow_mut()).poll_shutdown(cx)).await?;
-        linger(&stream).await
+        poll_fn(|cx| socket.borrow_mut().stream().poll_shutdown(cx)).await?;
+        linger(&socket).await
     };
     let cut = async {
         while !line.cut.get() {
@@ -246,12 +248,23 @@
     }
 }
 
+/// Ends once the client of a request that waits for its answer has closed its connection, also behind bytes that it
+/// sent after the request.
+async fn client_gone(socket: &RefCell<Socket>, line: &Line) {
+    // Polled with the connection, whose progress changes the phase, so no other wake-up is needed.
+    poll_fn(|cx| match line.phase.get() {
+        Phase::Busy => socket.borrow_mut().poll_closed(cx),
+        _ => Poll::Pending,
+    })
+    .await
+}
+
 /// Reads a little of what is not wanted, to the client's end.
-async fn linger(stream: &RefCell<TcpStream>) -> io::Result<()> {
+async fn linger(socket: &RefCell<Socket>) -> io::Result<()> {
     let (mut bytes, mut left) = ([0; 4096], LINGER_BYTES);
     while left > 0 {
         let mut into = ReadBuf::new(&mut bytes);
-        poll_fn(|cx| Pin::new(&mut *stream.borrow_mut()).poll_read(cx, &mut into)).await?;
+        poll_fn(|cx| socket.borrow_mut().stream().poll_read(cx, &mut into)).await?;
         match into.filled().len() {
             0 => return Ok(()),
             some => left = left.saturating_sub(some),
--- a/crates/gateway/src/server/tests.rs
+++ b/crates/gateway/src/server/tests.rs
@@ -249,7 +249,7 @@
         it.write(ASK).await;
         let taken = it.taken().await;
         // More than the gateway reads ahead, so that some of it is unread at the end.
-        let more = ASK.repeat(200);
+        let more = ASK.repeat(400);
         it.write(&more).await;
         it.stop();
         taken.reply.send(served(64 * 1024)).expect("it waits");
@@ -378,3 +378,75 @@
     };
     LocalSet::new().run_until(serving).await;
 }
+
+/// The client of a request goes, and that is all that the driver hears of it.
+async fn goes_unanswered(mut it: Crossing, id: RequestId) {
+    drop(it.client);
+    assert!(matches!(it.driver.recv().await, Some(Input::Gone(gone)) if gone == id), "it is told");
+    it.serving.await.expect("it ends");
+    assert!(it.driver.recv().await.is_none(), "and nothing that it sent behind is sent on");
+}
+
+#[tokio::test(flavor = "current_thread", start_paused = true)]
+async fn a_client_that_goes_behind_pipelined_bytes_is_told_as_gone_and_none_of_them_is_sent_on() {
+    // One request and a bit, some, and more than the protocol machine reads at once.
+    for behind in [1, ASK.len(), 4 * ASK.len(), 20 * 1024, 30 * 1024] {
+        let behind = ASK.repeat(behind.div_ceil(ASK.len()))[..behind].to_string();
+        for reset in [false, true] {
+            crossing(|mut it| async {
+                it.write(&format!("{ASK}{behind}")).await;
+                let taken = it.taken().await;
+                if reset {
+                    socket2::SockRef::from(&it.client).set_linger(Some(Duration::ZERO)).expect("a socket");
+                }
+                goes_unanswered(it, taken.arrival.id).await;
+            })
+            .await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "current_thread", start_paused = true)]
+async fn pipelined_requests_are_answered_one_after_another_however_many_were_read_ahead() {
+    const COUNT: usize = 300;
+    crossing(|mut it| async move {
+        let mut waiting = Vec::new();
+        it.write(ASK).await;
+        waiting.push(it.taken().await);
+        // Read ahead while the first one waits, the last of them in part.
+        let rest = ASK.repeat(COUNT - 1);
+        let (ahead, late) = rest.split_at(rest.len() - ASK.len() / 2);
+        let (mut reads, mut writes) = it.client.split();
+        let client = async {
+            writes.write_all(ahead.as_bytes()).await.expect("it is open");
+            tokio::task::yield_now().await;
+            writes.write_all(late.as_bytes()).await.expect("it is open");
+        };
+        let answers = async {
+            let mut answered = 0;
+            let mut tail = Vec::new();
+            while answered < COUNT {
+                tail.push(reads.read_u8().await.expect("an answer"));
+                if tail.ends_with(b"\r\n\r\nxx") {
+                    answered += 1;
+                    tail.clear();
+                }
+            }
+        };
+        let driver = async {
+            for number in 0..COUNT {
+                let taken = match waiting.pop() {
+                    Some(first) => first,
+                    None => match it.driver.recv().await {
+                        Some(Input::Taken(taken)) => *taken,
+                        _ => panic!("request {number} is taken"),
+                    },
+                };
+                tokio::task::yield_now().await;
+                taken.reply.send(served(2)).expect("it waits");
+            }
+        };
+        tokio::join!(client, answers, driver);
+    })
+    .await;
+}
