Calls to discovery after a failed one, and first ones, begin within 5 s in a fleet of any size

Seen by reading: where lists are asked for, first calls spread over 80 ms a gateway and pauses over twice that: 24 and 48 s at 300 gateways, 376 and 752 s at 4,700 (Backoff::first, ::pause).

Failures of a call are an enum.

Tests: refused, silent and turned-away calls, held list or none, 0 and 4,700 gateways, eight seeds each; without the bound it fails.

--- a/crates/gateway/src/backoff.rs
+++ b/crates/gateway/src/backoff.rs
@@ -9,6 +9,10 @@
 /// The least bound of a pause after a failure, and how often bounds double.
 const LEAST: Duration = Duration::from_millis(100);
 const DOUBLINGS: u32 = 1;
+/// The longest time from the start to the first call to be asked for, and from the begin of a call that failed to the begin of the
+/// next. A change counts as told 6 s after discovery had it and could be reached, whatever became of a call before;
+/// the rest of that time is for the next call's answer. So a large fleet calls at a higher rate than `SHARE` asks for.
+pub const MAX_BETWEEN_CALLS: Duration = Duration::from_secs(5);
 
 /// The pauses of one caller.
 pub struct Backoff {
@@ -25,16 +29,18 @@
         Backoff { rng: fastrand::Rng::with_seed(seed), spread: SHARE * sharing, failures: 0 }
     }
 
-    /// The pause before a first call.
-    pub fn first(&mut self) -> Duration {
-        self.spread.mul_f64(self.rng.f64())
+    /// The pause before a first call: any time up to this one, or less where fewer share the service.
+    pub fn first(&mut self, longest: Duration) -> Duration {
+        self.spread.min(longest).mul_f64(self.rng.f64())
     }
 
-    /// The pause after a call that failed: any time up to a bound that doubles.
-    pub fn pause(&mut self) -> Duration {
+    /// The pause after a call that failed and took so long: any time up to a bound that doubles, and that leaves no
+    /// more than `MAX_BETWEEN_CALLS` between the two calls' begins.
+    pub fn pause(&mut self, call: Duration) -> Duration {
         let bound = self.spread.max(LEAST) * (1 << self.failures);
+        let left = MAX_BETWEEN_CALLS.saturating_sub(call).max(LEAST);
         self.failures = (self.failures + 1).min(DOUBLINGS);
-        bound.mul_f64(self.rng.f64())
+        bound.min(left).mul_f64(self.rng.f64())
     }
 
     /// A call succeeded.
--- a/crates/gateway/tests/discovery.rs
+++ b/crates/gateway/tests/discovery.rs
@@ -24,6 +24,15 @@
 fn watching(
     discovery: std::net::SocketAddr,
     held: Option<u64>,
+) -> (watch::Sender<Upstreams>, mpsc::Receiver<Input>) {
+    watching_among(discovery, held, Backoff::new(1, 0))
+}
+
+/// The same with these pauses.
+fn watching_among(
+    discovery: std::net::SocketAddr,
+    held: Option<u64>,
+    backoff: Backoff,
 ) -> (watch::Sender<Upstreams>, mpsc::Receiver<Input>) {
     let (time, links) = (Duration::from_secs(1), 8);
     let (dial_timeout, conn_idle) = (time, time);
@@ -33,7 +42,7 @@
     let (moves, upstreams) = watch::channel(upstreams);
     let (inbox, inputs) = mpsc::channel(8);
     let names = Default::default();
-    tokio::task::spawn_local(discovery::watch(upstreams, inbox, Backoff::new(1, 0), held, names));
+    tokio::task::spawn_local(discovery::watch(upstreams, inbox, backoff, held, names));
     (moves, inputs)
 }
 
@@ -238,3 +247,71 @@
     })
     .await;
 }
+
+/// How a call to discovery ends that tells nothing.
+#[derive(Clone, Copy, Debug)]
+enum Fails {
+    /// Its connection is refused.
+    Refused,
+    /// Its connection comes up, and nothing follows.
+    Silent,
+    /// It is turned away.
+    TurnedAway,
+}
+
+#[tokio::test(flavor = "current_thread", start_paused = true)]
+async fn a_change_is_heard_before_it_counts_as_told_however_a_call_failed_and_however_large_the_fleet() {
+    for (gateways, held, fails) in [
+        (0, Some(7), Fails::Refused),
+        (4_700, Some(7), Fails::Refused),
+        (4_700, None, Fails::Refused),
+        (4_700, Some(7), Fails::Silent),
+        (4_700, None, Fails::Silent),
+        (4_700, Some(7), Fails::TurnedAway),
+        (4_700, None, Fails::TurnedAway),
+    ] {
+        for seed in 0..8 {
+            play(async move {
+                let (listener, address) = listener().await;
+                let started = tokio::time::Instant::now();
+                let (_keep, mut inputs) = watching_among(address, held, Backoff::new(seed, gateways));
+                let mut down = Some(listener);
+                let mut streams = Vec::new();
+                // It is down for some calls; where it refuses them nobody sees them, so for a while.
+                let mut back = started;
+                for _ in 0..3 {
+                    match fails {
+                        Fails::Refused => {
+                            down = None;
+                            tokio::time::sleep(Duration::from_millis(2_500)).await;
+                            back = tokio::time::Instant::now();
+                        }
+                        Fails::Silent | Fails::TurnedAway => {
+                            let (mut stream, _) =
+                                down.as_ref().expect("open").accept().await.expect("a call");
+                            asked(&mut stream).await;
+                            // From this moment on it could be reached again.
+                            back = tokio::time::Instant::now();
+                            if matches!(fails, Fails::TurnedAway) {
+                                let no = "HTTP/1.1 503 No\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+                                stream.write_all(no.as_bytes()).await.expect("it is open");
+                            }
+                            streams.push(stream);
+                        }
+                    }
+                }
+                let listener = match down {
+                    Some(listener) => listener,
+                    None => TcpListener::bind(address).await.expect("the port it had"),
+                };
+                let (mut stream, _) = listener.accept().await.expect("another call");
+                asked(&mut stream).await;
+                stream.write_all(list(8, true).as_bytes()).await.expect("it is open");
+                assert_eq!(told(&mut inputs).await.0, 8);
+                let took = back.elapsed();
+                assert!(took < COUNTS_AS_TOLD, "{gateways} {held:?} {fails:?} {seed}: {took:?}");
+            })
+            .await;
+        }
+    }
+}
--- a/crates/lanespan/benches/process/mod.rs
+++ b/crates/lanespan/benches/process/mod.rs
@@ -1,7 +1,7 @@
 //! What a bench reads of a gateway's process, and how two are compared.
 #![allow(dead_code)]
 
-use super::world::{config, program, request, Discovery, Node, Stub};
+use super::world::{config, operated, request, Discovery, Node, Stub};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 
 /// The least, the median and the most.
