--- a/crates/policy/tests/scale.rs
+++ b/crates/policy/tests/scale.rs
@@ -181,6 +181,72 @@
     assert!(share > 0.2, "{share} of what it could do: {got:?}");
 }
 
+/// What may fall to chance beyond the requests that a cold server bears in the time in which it falls over.
+fn beyond_chance(bears: f64) -> f64 {
+    bears + 2.0 * bears.sqrt() + 2.0
+}
+
+#[test]
+fn thirty_gateways_with_uneven_traffic_send_a_cold_server_no_more_than_it_bears_and_chance_explains() {
+    const GATEWAYS: u32 = 30;
+    const SERVERS: u32 = 20;
+    let set = Settings { gateways: GATEWAYS, ..settings() };
+    let cold = ServerId(7);
+    let window = (set.tip_after.0 / (25 * MS)) as usize;
+    for seed in 0..10 {
+        let mut draw = drawn_numbers(seed);
+        let mut rigs: Vec<Rig> = (0..GATEWAYS)
+            .map(|me| Rig::seeded(seed * 100 + u64::from(me), Settings { me, ..set.clone() }, SERVERS))
+            .collect();
+        // Some get four times as much as others, and it comes in bursts of three.
+        let mut step = |rigs: &mut Vec<Rig>| {
+            let mut at_cold = 0;
+            for (me, rig) in rigs.iter_mut().enumerate() {
+                rig.pass(25 * MS);
+                let often = if me % 5 == 0 { 0.4 } else { 0.1 };
+                if draw() >= often {
+                    continue;
+                }
+                for _ in 0..3 {
+                    let (id, out) = rig.request(0, 3, 1, 1.0);
+                    for (_, server) in sends(&out) {
+                        at_cold += usize::from(server == cold);
+                        rig.ended(id, 0, server, Outcome::Ok);
+                    }
+                }
+            }
+            at_cold
+        };
+        (0..200).for_each(|_| _ = step(&mut rigs));
+        for rig in &mut rigs {
+            let news = vec![entry(7, Listed::InService, Some(rig.now))];
+            rig.tell(Event::Servers(ListScope::Changes, news));
+        }
+        let got: Vec<usize> = (0..400).map(|_| step(&mut rigs)).collect();
+        // A warm one gets this much a second; a cold one bears so many times its part of it.
+        let warm = 40.0 * 3.0 * (6.0 * 0.4 + 24.0 * 0.1) / f64::from(SERVERS);
+        for (i, second) in got.windows(window).enumerate() {
+            let part = set.cold_from + (1.0 - set.cold_from) * i as f64 / 400.0;
+            let bears = set.fall_multiple * part * warm * set.tip_after.secs();
+            let sum = second.iter().sum::<usize>() as f64;
+            assert!(sum <= beyond_chance(bears), "seed {seed}: {sum} from step {i}, {bears} are borne");
+        }
+        let all = got.iter().sum::<usize>() as f64;
+        assert!(all > 0.2 * 0.6 * warm * 10.0, "seed {seed}: it is used: {all}");
+    }
+}
+
+/// Numbers from 0 to 1, the same for one seed.
+fn drawn_numbers(seed: u64) -> impl FnMut() -> f64 {
+    let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    move || {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        (state >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
 #[test]
 fn connections_ahead_of_need_go_where_the_module_would_send() {
     let (cold, failing, draining, sound) = (ServerId(30), ServerId(31), ServerId(32), ServerId(33));
