A client's end during an upload is left to the upload's reader; quotas may hold parts of a later edition

At fault: the client's end was taken from the connection while an upload was still coming (server::client_gone), so that what had come was never begun.

Change: the connection is read ahead only once the request has come whole (Line::awaits_answer). And a part of X-Quota without a value is passed over like one of an unknown name, where it was refused.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -252,9 +252,9 @@
 /// sent after the request.
 async fn client_gone(socket: &RefCell<Socket>, line: &Line) {
     // Polled with the connection, whose progress changes the phase, so no other wake-up is needed.
-    poll_fn(|cx| match line.phase.get() {
-        Phase::Busy => socket.borrow_mut().poll_closed(cx),
-        _ => Poll::Pending,
+    poll_fn(|cx| match line.awaits_answer() {
+        true => socket.borrow_mut().poll_closed(cx),
+        false => Poll::Pending,
     })
     .await
 }
--- a/crates/gateway/src/server/asked.rs
+++ b/crates/gateway/src/server/asked.rs
@@ -102,7 +102,9 @@
 pub(super) fn quota(value: &str, most_units: f64, gateways: u32) -> Option<(f64, u32, u32)> {
     let (mut units, mut spread, mut first) = (None, None, None);
     for part in value.split(',') {
-        let unset = match part.trim().split_once('=')? {
+        // What a later edition adds, in whatever form, says nothing here.
+        let Some(pair) = part.trim().split_once('=') else { continue };
+        let unset = match pair {
             ("units", v) => {
                 units.replace(v.parse::<f64>().ok().filter(|u| *u > 0.0 && *u <= most_units)?).is_none()
             }
--- a/crates/gateway/src/server/line.rs
+++ b/crates/gateway/src/server/line.rs
@@ -107,6 +107,11 @@
     pub(super) fn is_closing(&self) -> bool {
         self.closing.get()
     }
+    /// Whether a request has come whole and was not answered. While an upload comes, its reader sees the client's end.
+    pub(super) fn awaits_answer(&self) -> bool {
+        let whole = |upload: &Rc<Upload>| upload.is_whole();
+        self.phase.get() == Phase::Busy && self.upload.borrow().as_ref().is_none_or(whole)
+    }
     pub(super) fn close(&self) {
         if !self.closing.replace(true) {
             self.since.set(Instant::now());
--- a/crates/gateway/src/server/tests.rs
+++ b/crates/gateway/src/server/tests.rs
@@ -450,3 +450,19 @@
     })
     .await;
 }
+
+#[test]
+fn what_a_later_edition_adds_to_a_quota_says_nothing_here() {
+    let read = |value: &str| super::asked::quota(value, 4.0, 8);
+    for value in [
+        "units=2,spread=3,first=1",
+        "units=2, spread=3,first=1,urgent",
+        "urgent,units=2,spread=3,,first=1,tier=gold=2",
+        "units=2,spread=3,first=1,",
+    ] {
+        assert_eq!(read(value), Some((2.0, 3, 1)), "{value}");
+    }
+    for value in ["units=2,spread=3", "units,spread=3,first=1", "units=2,units=2,spread=3,first=1", "?"] {
+        assert_eq!(read(value), None, "{value}");
+    }
+}
