--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,7 +25,7 @@
 use driver::{Clock, Driver};
 use fleet::{Fleet, Told};
 use plan::Plan;
-use server::{Front, KnownClass, TimeIsUp};
+use server::{KnownClass, ServerContext, TimeIsUp};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -141,7 +141,7 @@
     });
     let driving = tokio::task::spawn_local(driver.run());
     let (open, last, bodies) = (Default::default(), Default::default(), Semaphore::new(bodies));
-    let front = Front {
+    let context = ServerContext {
         inbox,
         clock,
         ready,
@@ -162,7 +162,7 @@
     };
     // Guards against living on without a driver, taking requests that nobody decides.
     let ended = tokio::select! {
-        () = server::serve(listener, Rc::new(front), sockets.clients) => Ok(()),
+        () = server::serve(listener, Rc::new(context), sockets.clients) => Ok(()),
         _ = driving => Err(RunError::Driver),
     };
     fleet.iter().for_each(|fleet| fleet.leave());
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,8 +1,8 @@
 //! Clients: taking their requests, answering them, and `/_health`.
 
 mod answering;
-mod asked;
 mod line;
+mod request_head;
 
 use crate::driver::{Clock, Inbox};
 use crate::fleet::Fleet;
@@ -64,7 +64,7 @@
 }
 
 /// What all connections of clients share.
-pub struct Front {
+pub struct ServerContext {
     /// The way to the driver.
     pub inbox: Inbox,
     /// The module's clock.
@@ -101,7 +101,7 @@
     pub fleet: Option<Rc<Fleet>>,
 }
 
-impl Front {
+impl ServerContext {
     fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
     }
@@ -133,9 +133,9 @@
 }
 
 /// Takes clients until SIGTERM, answers what was taken, and returns.
-pub async fn serve(listener: TcpListener, front: Rc<Front>, connections: usize) {
-    let lines = Rc::new(Lines::new(connections, front.relays.clone()));
-    let mut stopping = front.stopping.clone();
+pub async fn serve(listener: TcpListener, context: Rc<ServerContext>, connections: usize) {
+    let lines = Rc::new(Lines::new(connections, context.relays.clone()));
+    let mut stopping = context.stopping.clone();
     let mut last_call: Option<Instant> = None;
     let mut sweep = interval(SWEEP_EVERY);
     let mut waiting = None;
@@ -145,13 +145,13 @@
             biased;
             // Guards the limit on descriptors: one at a time is accepted and then waits for its place.
             () = lines.place(), if waiting.is_some() => {
-                let line = Rc::new(Line::new(front.relays.settings().is_some()));
+                let line = Rc::new(Line::new(context.relays.settings().is_some()));
                 serial += 1;
                 lines.open.borrow_mut().insert(serial, line.clone());
-                let (stream, front, lines) = (waiting.take(), front.clone(), lines.clone());
+                let (stream, context, lines) = (waiting.take(), context.clone(), lines.clone());
                 tokio::task::spawn_local(async move {
                     if let Some(stream) = stream {
-                        connection(stream, &line, front).await;
+                        connection(stream, &line, context).await;
                     }
                     lines.open.borrow_mut().remove(&serial);
                     lines.ended.notify_one();
@@ -171,11 +171,11 @@
     }
     drop(listener);
     lines.all().into_iter().for_each(|line| line.close());
-    let left = front.last_answer.saturating_sub(last_call.map_or(Duration::ZERO, |at| at.elapsed()));
+    let left = context.last_answer.saturating_sub(last_call.map_or(Duration::ZERO, |at| at.elapsed()));
     if timeout(left, lines.all_ended()).await.is_err() {
         // Guards against ending with requests that never had an answer: a class may wait for longer than a
         // gateway that is told to stop has left.
-        front.time_is_up.tell();
+        context.time_is_up.tell();
         if timeout(LAST_WORD, lines.all_ended()).await.is_err() {
             warn!("some connections were still open at the end");
         }
@@ -196,11 +196,11 @@
 }
 
 /// Serves one connection to its end.
-async fn connection(stream: TcpStream, line: &Rc<Line>, front: Rc<Front>) {
+async fn connection(stream: TcpStream, line: &Rc<Line>, context: Rc<ServerContext>) {
     send_at_once(&stream);
     let service = service_fn(|request| {
-        let (front, line) = (front.clone(), line.clone());
-        async move { Ok::<_, Infallible>(respond(request, &front, &line).await) }
+        let (context, line) = (context.clone(), line.clone());
+        async move { Ok::<_, Infallible>(respond(request, &context, &line).await) }
     });
     let socket = Rc::new(RefCell::new(Socket::new(stream)));
     let followed = TokioIo::new(Tapped::new(socket.clone(), Followed(line.clone())));
--- a/crates/gateway/src/server/answering.rs
+++ b/crates/gateway/src/server/answering.rs
@@ -1,8 +1,8 @@
 //! From a request to its answer.
 
-use super::asked::Asked;
 use super::line::{Line, Phase, Stream, Uploading};
-use super::Front;
+use super::request_head::RequestHead;
+use super::ServerContext;
 use crate::backend::{strip_hop_by_hop, Forward, Payload};
 use crate::driver::{Answer, Inbox, Input, Taken};
 use crate::framing::Lengths;
@@ -28,23 +28,23 @@
 
 pub(super) async fn respond(
     request: Request<Incoming>,
-    front: &Rc<Front>,
+    context: &Rc<ServerContext>,
     line: &Rc<Line>,
 ) -> Response<Body> {
     line.turn(Phase::Receiving);
     let lengths = line.heads.as_ref().and_then(|heads| heads.borrow_mut().next());
     let mut response = match request.uri().path() {
-        ready if ready == front.names.ready => match front.ready.get() && !front.is_stopping() {
+        ready if ready == context.names.ready => match context.ready.get() && !context.is_stopping() {
             true => plain(StatusCode::OK, "ready\n"),
             false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         },
-        "/api" => match take(request, lengths, front, line).await {
+        "/api" => match take(request, lengths, context, line).await {
             Ok(answer) => answer,
             Err((status, problem)) => last(plain(status, problem)),
         },
         _ => last(plain(StatusCode::NOT_FOUND, "no such path\n")),
     };
-    if front.is_stopping() || line.is_closing() {
+    if context.is_stopping() || line.is_closing() {
         response = last(response);
     }
     if !matches!(response.body(), Answered::Long(..)) {
@@ -96,14 +96,14 @@
 /// A client's name for a request that is open. Guards against two requests of one name at the backends, which
 /// take the second for a copy of the first.
 pub(super) struct OpenCall {
-    front: Rc<Front>,
+    context: Rc<ServerContext>,
     call: HeaderValue,
 }
 
 impl OpenCall {
-    pub(super) fn new(front: &Rc<Front>, call: HeaderValue) -> Result<OpenCall, Malformed> {
-        match front.open.borrow_mut().insert(call.clone()) {
-            true => Ok(OpenCall { front: front.clone(), call }),
+    pub(super) fn new(context: &Rc<ServerContext>, call: HeaderValue) -> Result<OpenCall, Malformed> {
+        match context.open.borrow_mut().insert(call.clone()) {
+            true => Ok(OpenCall { context: context.clone(), call }),
             false => Err((StatusCode::CONFLICT, "the call: a request of that name is open\n")),
         }
     }
@@ -111,55 +111,55 @@
 
 impl Drop for OpenCall {
     fn drop(&mut self) {
-        self.front.open.borrow_mut().remove(&self.call);
+        self.context.open.borrow_mut().remove(&self.call);
     }
 }
 
 pub(super) async fn take(
     request: Request<Incoming>,
     lengths: Option<Lengths>,
-    front: &Rc<Front>,
+    context: &Rc<ServerContext>,
     line: &Rc<Line>,
 ) -> Result<Response<Body>, Malformed> {
     let (head, body) = request.into_parts();
-    let asked = Asked::read(&head, lengths, front)?;
-    let streams = front.relays.settings().filter(|_| !body.is_end_stream());
+    let request = RequestHead::read(&head, lengths, context)?;
+    let streams = context.relays.settings().filter(|_| !body.is_end_stream());
     let Some(set) = streams else {
         // Guards memory: its length is known before any of it is read.
         let length = body.size_hint().upper().unwrap_or(u64::MAX);
         if length > MAX_BODY as u64 {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 64 KiB\n"));
         }
-        let Ok(_room) = front.bodies.try_acquire_many(length as u32) else {
+        let Ok(_room) = context.bodies.try_acquire_many(length as u32) else {
             return Err((StatusCode::SERVICE_UNAVAILABLE, "no room for the body\n"));
         };
         let body =
             body.collect().await.map_err(|_| (StatusCode::BAD_REQUEST, "the body broke off\n"))?.to_bytes();
-        let open = OpenCall::new(front, asked.call.clone())?;
+        let open = OpenCall::new(context, request.call.clone())?;
         line.turn(Phase::Busy);
-        return Ok(decided(head, Payload::Whole(body), asked, open, front, line).await);
+        return Ok(decided(head, Payload::Whole(body), request, open, context, line).await);
     };
-    let open = OpenCall::new(front, asked.call.clone())?;
+    let open = OpenCall::new(context, request.call.clone())?;
     line.turn(Phase::Busy);
     let short = body.size_hint().exact().filter(|&length| length <= set.hold as u64);
     let (hold, bytes) = short.map_or((set.hold, set.stream()), |length| (length as usize, length as usize));
-    let budget = Duration::from_micros(asked.budget.0);
-    let room = timeout(set.wait.min(budget), front.relays.room(bytes)).await;
-    let Ok(Some(room)) = room else { return Ok(no_room(front)) };
+    let budget = Duration::from_micros(request.budget.0);
+    let room = timeout(set.wait.min(budget), context.relays.room(bytes)).await;
+    let Ok(Some(room)) = room else { return Ok(no_room(context)) };
     let source = Box::pin(body.map_err(io::Error::other));
     let uploading = Uploading::new(line, Upload::new(source, hold, budget, room));
     let payload = Payload::Upload(uploading.upload.clone());
-    let response = decided(head, payload, asked, open, front, line).await;
+    let response = decided(head, payload, request, open, context, line).await;
     let whole = uploading.upload.is_whole();
     // What follows chunks is not followed, so would not be believed.
     Ok(if whole && lengths != Some(Lengths::Chunked) { response } else { last(response) })
 }
 
 /// Refuses an upload for want of memory before anybody has heard of it.
-pub(super) fn no_room(front: &Front) -> Response<Body> {
+pub(super) fn no_room(context: &ServerContext) -> Response<Body> {
     let mut response = last(plain(StatusCode::SERVICE_UNAVAILABLE, "no room for the body\n"));
     let wait = Micros(NO_ROOM_WAIT.as_micros() as u64);
-    advise(&mut response, front.retry_after.map(|longest| longest.min(wait)));
+    advise(&mut response, context.retry_after.map(|longest| longest.min(wait)));
     response
 }
 
@@ -172,24 +172,24 @@
 pub(super) async fn decided(
     head: Parts,
     body: Payload,
-    asked: Asked,
+    request: RequestHead,
     open: OpenCall,
-    front: &Rc<Front>,
+    context: &Rc<ServerContext>,
     line: &Rc<Line>,
 ) -> Response<Body> {
     // The request's time runs from its last byte; that of an upload which can't be kept whole, as long as it goes
     // on and then from its last byte.
-    let at = front.clock.now();
-    let deadline = at + asked.budget;
-    let id = RequestId(front.last.replace(front.last.get() + 1) + 1);
+    let at = context.clock.now();
+    let deadline = at + request.budget;
+    let id = RequestId(context.last.replace(context.last.get() + 1) + 1);
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
-    let (method, uri, names) = (head.method, head.uri, front.names.clone());
+    let (method, uri, names) = (head.method, head.uri, context.names.clone());
     let forward = Forward { method, uri, headers, body, names };
     let (reply, answer) = oneshot::channel();
-    let taken = Taken { arrival: Arrival { id, deadline, ..asked.arrival }, at, forward, reply };
-    let mut watch = Watch { inbox: &front.inbox, id, answered: false };
-    let told = front.inbox.send(Input::Taken(Box::new(taken))).await.is_ok();
+    let taken = Taken { arrival: Arrival { id, deadline, ..request.arrival }, at, forward, reply };
+    let mut watch = Watch { inbox: &context.inbox, id, answered: false };
+    let told = context.inbox.send(Input::Taken(Box::new(taken))).await.is_ok();
     let answer = tokio::select! {
         biased;
         answer = answer, if told => {
@@ -197,7 +197,7 @@
             answer.unwrap_or(Answer::Failed)
         }
         // The driver hears that nobody waits for it any more, and ends its attempts.
-        () = front.time_is_up.wait(), if told => Answer::Failed,
+        () = context.time_is_up.wait(), if told => Answer::Failed,
         else => Answer::Failed,
     };
     match answer {
--- a/crates/gateway/src/server/asked.rs
+++ b/crates/gateway/src/server/request_head.rs
@@ -1,7 +1,7 @@
 //! What a request's head says of it.
 
 use super::answering::Malformed;
-use super::Front;
+use super::ServerContext;
 use crate::framing::Lengths;
 use crate::names::Headers;
 use hyper::header::{self, HeaderName, HeaderValue};
@@ -22,17 +22,21 @@
 }
 
 /// What a request's head says of it.
-pub(super) struct Asked {
+pub(super) struct RequestHead {
     pub(super) arrival: Arrival,
     /// What the client calls it.
     pub(super) call: HeaderValue,
     pub(super) budget: Micros,
 }
 
-impl Asked {
-    pub(super) fn read(head: &Parts, lengths: Option<Lengths>, front: &Front) -> Result<Asked, Malformed> {
+impl RequestHead {
+    pub(super) fn read(
+        head: &Parts,
+        lengths: Option<Lengths>,
+        context: &ServerContext,
+    ) -> Result<RequestHead, Malformed> {
         let (method, query, headers) = (&head.method, head.uri.query(), &head.headers);
-        let here = &front.names.headers;
+        let here = &context.names.headers;
         let bad = |problem| (StatusCode::BAD_REQUEST, problem);
         // Guards against a second request hidden in the body, which is there for who goes by the other of two
         // lengths. hyper drops the length of a body that is chunked as well.
@@ -49,16 +53,16 @@
         }
         let named = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
         let class = named(&here.class)
-            .and_then(|class| front.classes.get(class))
+            .and_then(|class| context.classes.get(class))
             .ok_or_else(|| bad("the class: expected a known one\n"))?;
-        let plan = named(&here.plan).and_then(|plan| front.plans.get(plan));
+        let plan = named(&here.plan).and_then(|plan| context.plans.get(plan));
         let plan = plan.ok_or_else(|| bad("the plan: expected a known one\n"))?;
-        let customer = query.and_then(|query| customer(query, &front.names.customer));
+        let customer = query.and_then(|query| customer(query, &context.names.customer));
         let customer = customer.ok_or_else(|| bad("the customer: expected 16 hex digits\n"))?;
         let budget = named(&here.budget).and_then(|v| v.parse::<u64>().ok());
         let budget = budget.ok_or_else(|| bad("the budget: expected whole milliseconds\n"))?;
         let (units, spread, first) = named(&here.quota)
-            .and_then(|value| quota(value, front.most_units, front.gateways))
+            .and_then(|value| quota(value, context.most_units, context.gateways))
             .ok_or_else(|| bad("the quota: expected units, spread and first in their ranges\n"))?;
         let call = headers.get(&here.call).filter(|id| !id.is_empty()).cloned();
         let call = call.ok_or_else(|| bad("the call: expected an id\n"))?;
@@ -79,14 +83,14 @@
             plan: *plan,
             customer,
             spread,
-            sharing: front.fleet.as_ref().map_or(spread, |fleet| fleet.divisor(first, spread)),
+            sharing: context.fleet.as_ref().map_or(spread, |fleet| fleet.divisor(first, spread)),
             units,
             resent: named(&here.again) == Some("1"),
             ..Arrival::default()
         };
         // No client waits longer than its class says.
         let budget = Micros(budget.saturating_mul(1000)).min(class.deadline);
-        Ok(Asked { arrival, call, budget })
+        Ok(RequestHead { arrival, call, budget })
     }
 }
 
--- a/crates/gateway/src/server/tests.rs
+++ b/crates/gateway/src/server/tests.rs
@@ -10,8 +10,8 @@
     KnownClass { id: ClassId(0), effect: Some(effect), deadline: Micros(8_000_000) }
 }
 
-fn front(stopping: watch::Receiver<bool>) -> Front {
-    Front {
+fn context(stopping: watch::Receiver<bool>) -> ServerContext {
+    ServerContext {
         inbox: mpsc::channel(1).0,
         clock: Clock::start(0),
         ready: Rc::new(Cell::new(true)),
@@ -46,11 +46,11 @@
     let classes = [("buy".to_string(), class(Effect::Unsafe))].into();
     let plans = [("team".to_string(), PlanId(0))].into();
     let last_answer = last_answer(longest);
-    let front = Rc::new(Front { inbox, classes, plans, last_answer, ..front(stopping) });
+    let context = Rc::new(ServerContext { inbox, classes, plans, last_answer, ..context(stopping) });
     let asking = async move {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let mut client = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("it listens");
-        let serving = tokio::task::spawn_local(serve(listener, front, 8));
+        let serving = tokio::task::spawn_local(serve(listener, context, 8));
         let ask = b"POST /api?customer=00000000b4d65521 HTTP/1.1\r\nHost: a\r\nX-Call-Id: 1\r\n\
             X-Call-Class: buy\r\nX-Plan: team\r\nX-Budget-Ms: 8000\r\nContent-Length: 0\r\n\
             X-Quota: units=1,spread=1,first=0\r\n\r\n";
@@ -93,7 +93,7 @@
         let (inbox, driver) = mpsc::channel(8);
         let classes = [("look".to_string(), class(Effect::Safe))].into();
         let plans = [("team".to_string(), PlanId(0))].into();
-        let front = Rc::new(Front { inbox, classes, plans, ..front(stopping) });
+        let context = Rc::new(ServerContext { inbox, classes, plans, ..context(stopping) });
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("bound");
         let (client, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
@@ -102,7 +102,7 @@
         let line = Rc::new(Line::new(false));
         let served = line.clone();
         let stream = accepted.expect("it came").0;
-        let serving = tokio::task::spawn_local(async move { connection(stream, &served, front).await });
+        let serving = tokio::task::spawn_local(async move { connection(stream, &served, context).await });
         Crossing { client, line, driver, stop, serving }
     }
 
@@ -308,11 +308,11 @@
 #[tokio::test(flavor = "current_thread", start_paused = true)]
 async fn half_a_request_on_a_kept_connection_holds_it_no_longer_than_on_a_new_one() {
     let (_stop, stopping) = watch::channel(false);
-    let front = Rc::new(front(stopping));
+    let context = Rc::new(context(stopping));
     let playing = async move {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("bound");
-        tokio::task::spawn_local(serve(listener, front, 8));
+        tokio::task::spawn_local(serve(listener, context, 8));
         let mut client = TcpStream::connect(address).await.expect("it listens");
         let mut answer = [0; 12];
         client.write_all(HEALTH.as_bytes()).await.expect("it is open");
@@ -333,11 +333,11 @@
 #[tokio::test(flavor = "current_thread", start_paused = true)]
 async fn a_connection_that_was_ended_gives_its_place_to_a_new_one() {
     let (_stop, stopping) = watch::channel(false);
-    let front = Rc::new(front(stopping));
+    let context = Rc::new(context(stopping));
     let playing = async move {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("bound");
-        tokio::task::spawn_local(serve(listener, front, 1));
+        tokio::task::spawn_local(serve(listener, context, 1));
         let start = Instant::now();
         let mut first = TcpStream::connect(address).await.expect("it listens");
         first.write_all(b"no HTTP at all\r\n\r\n").await.expect("it is open");
@@ -366,10 +366,12 @@
 #[tokio::test(flavor = "current_thread")]
 async fn a_client_whose_socket_takes_no_options_is_served() {
     let (_stop, stopping) = watch::channel(false);
-    let front = Rc::new(front(stopping));
+    let context = Rc::new(context(stopping));
     let serving = async move {
         let (stream, mut client) = without_options();
-        tokio::task::spawn_local(async move { connection(stream, &Rc::new(Line::new(false)), front).await });
+        tokio::task::spawn_local(
+            async move { connection(stream, &Rc::new(Line::new(false)), context).await },
+        );
         let ask = b"GET /_health HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
         client.write_all(ask).await.expect("it is open");
         let mut answer = String::new();
@@ -453,7 +455,7 @@
 
 #[test]
 fn what_a_later_edition_adds_to_a_quota_says_nothing_here() {
-    let read = |value: &str| super::asked::quota(value, 4.0, 8);
+    let read = |value: &str| super::request_head::quota(value, 4.0, 8);
     for value in [
         "units=2,spread=3,first=1",
         "units=2, spread=3,first=1,urgent",
