Configuration: one way to place a problem, and a known list read in one step

Seen on rereading: ConfigError::at was a copy of at_each with one place for all lines, and read_known had its problem told in two arms alike. at calls at_each now, read_known returns the list and what is wrong with it; a doc comment of MAX_BETWEEN_CALLS reads as a sentence. Behaviour as before.

Run: the gateway crate's 44 own tests, the command's 10 and the platform file's 6, clippy on that crate, formatter.

--- a/crates/gateway/src/backoff.rs
+++ b/crates/gateway/src/backoff.rs
@@ -9,8 +9,8 @@
 /// The least bound of a pause after a failure, and how often bounds double.
 const LEAST: Duration = Duration::from_millis(100);
 const DOUBLINGS: u32 = 1;
-/// The longest time from the start to the first call to be asked for, and from the begin of a call that failed to the begin of the
-/// next. A change counts as told 6 s after discovery had it and could be reached, whatever became of a call before;
+/// The longest time from the start to the first call, and from the begin of a call that failed to that of the next.
+/// A change counts as told 6 s after discovery had it and could be reached, whatever became of a call before;
 /// the rest of that time is for the next call's answer. So a large fleet calls at a higher rate than `SHARE` asks for.
 pub const MAX_BETWEEN_CALLS: Duration = Duration::from_secs(5);
 
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -306,17 +306,8 @@
             Origin::Operator => &mut problems,
             Origin::Platform => &mut passed_over.unreadable,
         };
-        let known = match read_known(known, &names) {
-            Ok((known, None)) => known,
-            Ok((known, Some(problem))) => {
-                told_to.push(problem);
-                known
-            }
-            Err(problem) => {
-                told_to.push(problem);
-                MemberList::default()
-            }
-        };
+        let (known, problem) = read_known(known, &names);
+        told_to.extend(problem);
         let Document { limits, counter, settings, .. } = document;
         let seed = match document.seed.map(|seed| u64::from_str_radix(&seed, 16).map_err(|_| seed)) {
             Some(Ok(seed)) => seed,
@@ -401,15 +392,21 @@
 /// Stands for an address that is missing, which is told.
 const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
 
-/// The list of backends that the file has from before, with what is wrong with some of its entries.
-fn read_known(known: Option<Value>, names: &Names) -> Result<(MemberList, Option<String>), String> {
-    let Some(known) = known else { return Ok((MemberList::default(), None)) };
+/// The list of backends that the file has from before, empty if there is none, with what is wrong with it.
+fn read_known(known: Option<Value>, names: &Names) -> (MemberList, Option<String>) {
+    let Some(known) = known else { return (MemberList::default(), None) };
     let known = names.list(known);
-    let list = MemberList::read(&known)
-        .map_err(|problem| format!("known: {problem}, found {}", problems::shown(&known)))?;
-    let wrong = (list.unreadable > 0)
-        .then(|| format!("known.members: expected backends, found {} that can't be read", list.unreadable));
-    Ok((list, wrong))
+    match MemberList::read(&known) {
+        Err(problem) => {
+            let problem = format!("known: {problem}, found {}", problems::shown(&known));
+            (MemberList::default(), Some(problem))
+        }
+        Ok(list) => {
+            let count = list.unreadable;
+            let problem = format!("known.members: expected backends, found {count} that can't be read");
+            (list, (count > 0).then_some(problem))
+        }
+    }
 }
 
 /// What the settings say.
--- a/crates/gateway/src/config_error.rs
+++ b/crates/gateway/src/config_error.rs
@@ -18,11 +18,9 @@
 
     /// The same, with where it stands.
     pub(crate) fn at(self, place: &str) -> ConfigError {
-        ConfigError(self.0.into_iter().map(|line| format!("{place}: {line}")).collect())
+        self.at_each(|_| place.to_string())
     }
-}
 
-impl ConfigError {
     /// The same, with where each of its lines stands.
     pub(crate) fn at_each(self, place: impl Fn(&str) -> String) -> ConfigError {
         ConfigError(self.0.into_iter().map(|line| format!("{}: {line}", place(&line))).collect())
