--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -39,9 +39,9 @@
 }
 
 impl Record {
-    /// Creates the record at the path that `RECORD` names.
+    /// Creates the record at the path that `run.sh` sets in RECORD: record.txt in the folder of the case.
     pub fn create() -> Record {
-        let path = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".to_string());
+        let path = std::env::var("RECORD").unwrap_or_else(|_| could_not_run("RECORD names no file"));
         let file = File::create(&path).unwrap_or_else(|error| could_not_run(&format!("{path}: {error}")));
         Record { file: Arc::new(Mutex::new(file)), start: Instant::now() }
     }
