Forward no request of a client that may have closed its connection

Cause: a close is behind all bytes that the client has sent, and the gateway noticed it only by reading up to it. It read 32 KiB ahead, then stopped looking and still took the client to be connected, so the next pipelined request was submitted.

Evidence: during the case the gateway's socket was in CLOSE-WAIT with 53,841 unread bytes for the 0.32 s to the first answer; 200 requests, which fit into the buffers, were noticed by the same code.

Fix: whether the client is connected is checked right before a request is submitted, and "unknown" is a state of its own: while more is unread than may be read ahead, the open request fails and those behind it are rejected, without an attempt. With streaming on, an upload that waits for its attempt is read ahead too, and its last byte is passed on only while its client is connected. This works since no request is submitted any more in a state in which a close could be unread.

an_upload_that_the_client_breaks_off_is_incomplete_for_the_backend raced the client's close against the attempt: it is noticed before the attempt begins now, so none was made and the test waited for it in vain. It waits for the attempt before the client breaks off; what it asserts is unchanged.

--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -4,6 +4,7 @@
 use super::request_body::RequestBody;
 use super::socket::disable_nagle;
 use super::traffic::Traffic;
+use crate::read_ahead::ReadAheadBudget;
 use crate::tapped::{Socket, Tapped};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
@@ -71,7 +72,7 @@
 
     pub(super) async fn from_stream(stream: TcpStream) -> io::Result<Connection> {
         disable_nagle(&stream);
-        let socket = Rc::new(RefCell::new(Socket::new(stream)));
+        let socket = Rc::new(RefCell::new(Socket::new(stream, ReadAheadBudget::default())));
         let traffic = Rc::<Traffic>::default();
         let io = TokioIo::new(Tapped::new(socket.clone(), traffic.clone()));
         let (sender, protocol) = http1::Builder::new()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod metrics;
 pub mod names;
 pub mod pool;
+mod read_ahead;
 pub mod relay;
 pub mod replication;
 mod run;
--- a/crates/gateway/src/relay/upload.rs
+++ b/crates/gateway/src/relay/upload.rs
@@ -68,6 +68,11 @@
         self.state.borrow().is_complete()
     }
 
+    /// Returns whether an attempt has begun to read the upload, and the client has not sent all of it yet.
+    pub fn is_being_read(&self) -> bool {
+        self.received_bytes.get() > 0 && !self.state.borrow().is_over()
+    }
+
     /// Returns whether only this attempt can send the upload.
     pub fn is_bound_to(&self, attempt: usize) -> bool {
         self.state.borrow().is_bound_to(attempt)
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -27,6 +27,9 @@
 
 /// Buffered request bodies may take this fraction of the configured memory: 1 / `BODY_MEMORY_DIVISOR`.
 const BODY_MEMORY_DIVISOR: usize = 8;
+/// Bytes that are read ahead on clients' connections may take this fraction of the configured memory: 1 /
+/// `READ_AHEAD_MEMORY_DIVISOR`.
+const READ_AHEAD_MEMORY_DIVISOR: usize = 8;
 
 /// Error that prevents a gateway from starting or makes it stop.
 #[derive(Debug, thiserror::Error)]
@@ -109,6 +112,7 @@
     saved_revision: Option<u64>,
     max_clients: usize,
     body_memory_bytes: usize,
+    read_ahead_memory_bytes: usize,
     classes: HashMap<String, KnownClass>,
     plans: HashMap<String, PlanId>,
     max_request_units: f64,
@@ -134,6 +138,7 @@
             saved_revision: (subscribes && has_saved_list).then_some(config.saved_endpoints.revision),
             max_clients: config.sockets.clients,
             body_memory_bytes: config.memory / BODY_MEMORY_DIVISOR,
+            read_ahead_memory_bytes: config.memory / READ_AHEAD_MEMORY_DIVISOR,
             classes: known_classes(config),
             plans: config.site.plans.iter().map(|(name, &id)| (name.clone(), PlanId(id))).collect(),
             max_request_units: settings.max_request_units,
@@ -274,6 +279,7 @@
         gateway_count: setup.gateway_count,
         max_connections: setup.max_clients,
         body_memory_bytes: setup.body_memory_bytes,
+        read_ahead_memory_bytes: setup.read_ahead_memory_bytes,
         stopping,
         streams: driver.streams(),
         max_retry_after: setup.retry_after,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,9 +6,11 @@
 //! | `connection` | the state machine of one connection |
 //! | `http_connection`, `linger` | HTTP/1.1 on one connection, and its lingering close |
 //! | `handler`, `request_head`, `submit`, `response` | a request: validated, submitted to the driver, answered |
+//! | `client_presence` | whether the client of an open request is still connected |
 //! | `transfer`, `transfer_progress` | streamed responses and uploads in progress |
 //! | `shutdown` | the timing of a graceful shutdown |
 
+mod client_presence;
 mod connection;
 mod context;
 mod error;
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -18,6 +18,7 @@
 
 use super::transfer_progress::TransferProgress;
 use crate::framing::{BodyFraming, FramingReader};
+use crate::read_ahead::{MAX_READ_AHEAD_BYTES, RESERVED_READ_AHEAD_BYTES};
 use crate::relay::{StreamSettings, Upload};
 use crate::tapped::Tap;
 use std::cell::{Cell, RefCell};
@@ -48,6 +49,12 @@
     phase_since: Cell<Instant>,
     /// Whether a part of a request has arrived, but not the complete request.
     request_started: Cell<bool>,
+    /// Whether the open request has arrived completely. For an upload, [`Self::upload`] tells this from its begin on.
+    request_complete: Cell<bool>,
+    /// Whether the client of the open request has sent more than may be read ahead.
+    client_unobservable: Cell<bool>,
+    /// Wakes the handler of the open request after `client_unobservable` was set.
+    became_unobservable: Notify,
     /// Whether anything was written; a TCP reset could discard it before the client has read it.
     response_written: Cell<bool>,
     /// Whether the connection closes after the response to the current request.
@@ -74,6 +81,9 @@
             phase: Cell::new(Phase::Receiving),
             phase_since: Cell::new(Instant::now()),
             request_started: Cell::new(false),
+            request_complete: Cell::new(false),
+            client_unobservable: Cell::new(false),
+            became_unobservable: Notify::new(),
             response_written: Cell::new(false),
             closing: Cell::new(false),
             aborted: Cell::new(false),
@@ -112,8 +122,19 @@
         self.enter(Phase::Receiving);
     }
 
-    /// Records that a request was accepted: it has arrived completely, except for an upload.
+    /// Records that a request was accepted, which has arrived completely.
     pub(super) fn request_accepted(&self) {
+        self.processing(true);
+    }
+
+    /// Records that a request was accepted whose upload may still be arriving.
+    pub(super) fn upload_accepted(&self) {
+        self.processing(false);
+    }
+
+    fn processing(&self, request_complete: bool) {
+        self.request_complete.set(request_complete);
+        self.client_unobservable.set(false);
         self.enter(Phase::Processing);
     }
 
@@ -158,11 +179,39 @@
         self.response_written.get()
     }
 
-    /// Returns whether a request has arrived completely and awaits its response. While an upload is arriving, its
-    /// reader detects when the client disconnects.
-    pub(super) fn awaits_response(&self) -> bool {
-        let is_complete = |upload: &Rc<Upload>| upload.is_complete();
-        self.phase() == Phase::Processing && self.upload.borrow().as_ref().is_none_or(is_complete)
+    /// Returns whether the open request has arrived completely.
+    pub(super) fn is_request_complete(&self) -> bool {
+        match &*self.upload.borrow() {
+            Some(upload) => upload.is_complete(),
+            None => self.request_complete.get(),
+        }
+    }
+
+    /// Returns how many bytes may be read ahead to notice when the client of the open request disconnects. `None`
+    /// without an open request, and while an upload is being read, which ends if the client disconnects.
+    pub(super) fn read_ahead_limit(&self) -> Option<usize> {
+        if self.phase() != Phase::Processing || self.client_unobservable.get() {
+            return None;
+        }
+        if self.is_request_complete() {
+            return Some(MAX_READ_AHEAD_BYTES);
+        }
+        let is_being_read = self.upload.borrow().as_ref().is_some_and(|upload| upload.is_being_read());
+        (!is_being_read).then_some(RESERVED_READ_AHEAD_BYTES)
+    }
+
+    /// Records that the client of the open request has sent more than may be read ahead, so that it can't be observed
+    /// whether it is still connected.
+    pub(super) fn client_unobservable(&self) {
+        self.client_unobservable.set(true);
+        self.became_unobservable.notify_one();
+    }
+
+    /// Waits until [`Self::client_unobservable`] is called for the open request.
+    pub(super) async fn until_client_unobservable(&self) {
+        while !self.client_unobservable.get() {
+            self.became_unobservable.notified().await;
+        }
     }
 
     /// Returns how the next request delimits its body, if that is known.
--- a/crates/gateway/src/server/context.rs
+++ b/crates/gateway/src/server/context.rs
@@ -6,6 +6,7 @@
 use crate::driver::DriverSender;
 use crate::fleet::Fleet;
 use crate::names::Names;
+use crate::read_ahead::ReadAheadBudget;
 use crate::relay::StreamLimits;
 use lanespan_policy::{ClassId, Idempotency, Micros, PlanId, RequestId};
 use std::cell::Cell;
@@ -46,6 +47,8 @@
     pub max_connections: usize,
     /// Memory for request bodies that are read completely before they are forwarded.
     pub body_memory_bytes: usize,
+    /// Memory for bytes that are read ahead on clients' connections, beyond what is reserved for each.
+    pub read_ahead_memory_bytes: usize,
     /// Becomes true on SIGTERM.
     pub stopping: watch::Receiver<bool>,
     /// Limits shared by streamed responses and uploads.
@@ -76,6 +79,7 @@
     pub(super) names: Rc<Names>,
     /// Permits for the bytes of request bodies that are read completely before they are forwarded.
     pub(super) body_memory: Semaphore,
+    pub(super) read_ahead: ReadAheadBudget,
     pub(super) open_requests: ClientRequestIds,
     pub(super) response_deadline: ResponseDeadline,
     fleet: Option<Rc<Fleet>>,
@@ -99,6 +103,7 @@
             max_retry_after: params.max_retry_after,
             names: params.names,
             body_memory: Semaphore::new(params.body_memory_bytes),
+            read_ahead: ReadAheadBudget::new(params.read_ahead_memory_bytes),
             open_requests: ClientRequestIds::default(),
             response_deadline: ResponseDeadline::new(params.longest_deadline),
             fleet: params.fleet,
--- a/crates/gateway/src/server/handler.rs
+++ b/crates/gateway/src/server/handler.rs
@@ -1,5 +1,6 @@
 //! Handles a client's request, from its head to its response.
 
+use super::client_presence::{client_state, ObservedUpload};
 use super::connection::ClientConnection;
 use super::context::ServerContext;
 use super::error::RequestError;
@@ -15,12 +16,14 @@
 use crate::framing::BodyFraming;
 use crate::http::MAX_BODY_BYTES;
 use crate::relay::{ClientBody, ServedBody, StreamSettings, Upload};
+use crate::tapped::{PeerState, Socket};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use lanespan_policy::Micros;
-use std::io;
+use std::cell::RefCell;
+use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -35,10 +38,11 @@
     request: Request<Incoming>,
     context: &Rc<ServerContext>,
     connection: &Rc<ClientConnection>,
+    socket: &Rc<RefCell<Socket>>,
 ) -> Response<ResponseBody> {
     connection.head_received();
     let framing = connection.next_framing();
-    let mut response = route(request, framing, context, connection).await;
+    let mut response = route(request, framing, context, connection, socket).await;
     if context.is_stopping() || connection.is_closing() {
         response = with_connection_close(response);
     }
@@ -53,6 +57,7 @@
     framing: Option<BodyFraming>,
     context: &Rc<ServerContext>,
     connection: &Rc<ClientConnection>,
+    socket: &Rc<RefCell<Socket>>,
 ) -> Response<ResponseBody> {
     let path = request.uri().path();
     if path == context.names.ready_path {
@@ -64,7 +69,7 @@
     let (head, body) = request.into_parts();
     let handled = match RequestHead::parse(&head, framing, context) {
         Ok(parsed) => {
-            let request = ApiRequest { head, parsed, framing, context, connection };
+            let request = ApiRequest { head, parsed, framing, context, connection, socket };
             request.handle(body).await
         }
         Err(error) => Err(error),
@@ -86,6 +91,7 @@
     framing: Option<BodyFraming>,
     context: &'a Rc<ServerContext>,
     connection: &'a Rc<ClientConnection>,
+    socket: &'a Rc<RefCell<Socket>>,
 }
 
 impl ApiRequest<'_> {
@@ -119,7 +125,7 @@
     ) -> Result<Response<ResponseBody>, RequestError> {
         let (context, connection, framing) = (self.context, self.connection, self.framing);
         let open_request = context.open_requests.open(self.parsed.client_id.clone())?;
-        connection.request_accepted();
+        connection.upload_accepted();
         let exact_length = body.size_hint().exact();
         let short_length =
             exact_length.filter(|&length| length <= settings.hold_bytes as u64).map(|length| length as usize);
@@ -128,7 +134,7 @@
         let budget = Duration::from_micros(self.parsed.budget.0);
         let memory = timeout(settings.memory_wait.min(budget), context.streams.reserve(memory_bytes)).await;
         let Ok(Some(memory)) = memory else { return Ok(no_memory_for_upload(context)) };
-        let source = Box::pin(body.map_err(io::Error::other));
+        let source = Box::pin(ObservedUpload::new(body, self.socket.clone()));
         let in_progress =
             UploadInProgress::begin(connection, Upload::new(source, replay_bytes, budget, memory));
         let payload = Payload::Upload(in_progress.upload.clone());
@@ -138,8 +144,15 @@
         Ok(if may_continue { response } else { with_connection_close(response) })
     }
 
-    /// Submits the request to the driver and converts the final answer to a response.
+    /// Submits the request to the driver, if its client is still connected, and converts the final answer to a
+    /// response.
     async fn forward(self, body: Payload, open_request: ClientRequestGuard) -> Response<ResponseBody> {
+        match client_state(self.socket, self.connection) {
+            PeerState::Connected => {}
+            // The task that serves the connection ends it.
+            PeerState::Disconnected => return pending().await,
+            PeerState::Unknown => return rejection(None),
+        }
         let RequestHead { arrival, budget, .. } = self.parsed;
         let mut headers = self.head.headers;
         strip_hop_by_hop(&mut headers);
@@ -150,22 +163,25 @@
             body,
             names: self.context.names.clone(),
         };
-        match submit(arrival, budget, forward, self.context).await {
+        match submit(arrival, budget, forward, self.context, self.connection).await {
             FinalAnswer::Served(ServedBody::Complete(body)) => Response::new(complete_body(body)),
             FinalAnswer::Served(ServedBody::Streamed(body)) => Response::new(ClientBody::Streamed(
                 body,
                 ResponseStream::begin(self.connection, open_request),
             )),
-            FinalAnswer::Rejected(retry_after) => {
-                let mut response = text_response(StatusCode::TOO_MANY_REQUESTS, "refused\n");
-                set_retry_after(&mut response, retry_after);
-                response
-            }
+            FinalAnswer::Rejected(retry_after) => rejection(retry_after),
             FinalAnswer::Failed => text_response(StatusCode::BAD_GATEWAY, "failed\n"),
         }
     }
 }
 
+/// Returns the response to a request that was rejected without being executed.
+fn rejection(retry_after: Option<Micros>) -> Response<ResponseBody> {
+    let mut response = text_response(StatusCode::TOO_MANY_REQUESTS, "refused\n");
+    set_retry_after(&mut response, retry_after);
+    response
+}
+
 /// Rejects an upload for lack of memory; it is not submitted to the driver.
 fn no_memory_for_upload(context: &ServerContext) -> Response<ResponseBody> {
     let mut response = error_response(RequestError::NoMemoryForBody);
--- a/crates/gateway/src/server/http_connection.rs
+++ b/crates/gateway/src/server/http_connection.rs
@@ -1,22 +1,21 @@
 //! Serves HTTP/1.1 on one client's connection, from its first request until it is closed.
 
+use super::client_presence::client_left;
 use super::connection::{ClientConnection, ConnectionTap};
 use super::context::ServerContext;
 use super::handler::handle;
 use super::linger::linger;
 use super::response::ResponseBody;
 use crate::http::disable_nagle;
-use crate::tapped::{Socket, Tapped};
+use crate::tapped::{PeerState, Socket, Tapped};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::{service_fn, HttpService};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
 use std::convert::Infallible;
-use std::future::poll_fn;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::Poll;
 use tokio::net::TcpStream;
 use tracing::debug;
 
@@ -45,11 +44,11 @@
     context: Rc<ServerContext>,
 ) {
     disable_nagle(&stream);
+    let socket = Rc::new(RefCell::new(Socket::new(stream, context.read_ahead.clone())));
     let service = service_fn(|request| {
-        let (context, connection) = (context.clone(), connection.clone());
-        async move { Ok::<_, Infallible>(handle(request, &context, &connection).await) }
+        let (context, connection, socket) = (context.clone(), connection.clone(), socket.clone());
+        async move { Ok::<_, Infallible>(handle(request, &context, &connection, &socket).await) }
     });
-    let socket = Rc::new(RefCell::new(Socket::new(stream)));
     let io = TokioIo::new(Tapped::new(socket.clone(), ConnectionTap(connection.clone())));
     // This future lives until the socket is closed, because it may hold the end of a streamed response.
     let mut protocol = pin!(http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).serve_connection(io, service));
@@ -73,8 +72,13 @@
         tokio::select! {
             biased;
             result = protocol.as_mut() => return exchange_end(result),
-            // The client no longer waits for a response: the request ends with the connection.
-            () = client_disconnected(socket, connection) => return ExchangeEnd::ClientDisconnected,
+            state = client_left(socket, connection) => {
+                if state == PeerState::Disconnected {
+                    // The client no longer waits for a response: the request ends with the connection.
+                    return ExchangeEnd::ClientDisconnected;
+                }
+                connection.client_unobservable();
+            }
             () = connection.end_requested() => {
                 if connection.is_aborted() {
                     return ExchangeEnd::Aborted;
@@ -101,14 +105,3 @@
         }
     }
 }
-
-/// Waits until the client of a request that awaits its response has closed the connection, even after it has sent more
-/// bytes following the request.
-async fn client_disconnected(socket: &RefCell<Socket>, connection: &ClientConnection) {
-    // Polled together with the HTTP connection, whose progress changes the phase, so no other wake-up is needed.
-    poll_fn(|cx| match connection.awaits_response() {
-        true => socket.borrow_mut().poll_closed(cx),
-        false => Poll::Pending,
-    })
-    .await
-}
--- a/crates/gateway/src/server/submit.rs
+++ b/crates/gateway/src/server/submit.rs
@@ -1,5 +1,6 @@
 //! Submits a request to the driver and waits for its final answer.
 
+use super::connection::ClientConnection;
 use super::context::ServerContext;
 use crate::backend::ForwardedRequest;
 use crate::driver::{AcceptedRequest, DriverEvent, DriverSender, FinalAnswer};
@@ -8,12 +9,14 @@
 use tokio::sync::oneshot;
 
 /// Submits a request to the driver and returns its final answer. `budget` is the time that the client waits after the
-/// last byte of its request. While an upload that exceeds the replay buffer is arriving, no time limit applies.
+/// last byte of its request. While an upload that exceeds the replay buffer is arriving, no time limit applies. The
+/// request fails once it can't be observed any more whether its client is still connected.
 pub(super) async fn submit(
     arrival: Arrival,
     budget: Micros,
     forward: ForwardedRequest,
     context: &ServerContext,
+    connection: &ClientConnection,
 ) -> FinalAnswer {
     let accepted_at = context.clock.now();
     let request = context.next_request();
@@ -32,6 +35,7 @@
         }
         // Dropping the guard makes the driver end the request's attempts.
         () = context.response_deadline.wait() => FinalAnswer::Failed,
+        () = connection.until_client_unobservable() => FinalAnswer::Failed,
     }
 }
 
--- a/crates/gateway/src/server/tests.rs
+++ b/crates/gateway/src/server/tests.rs
@@ -1,3 +1,5 @@
+mod client_presence;
+
 use super::connection::Phase;
 use super::linger::MAX_LINGER;
 use super::request_head::QuotaHeader;
@@ -8,7 +10,8 @@
 use crate::driver::{AcceptedRequest, DriverEvent, FinalAnswer};
 use crate::http::tests::stream_without_options;
 use crate::http::MAX_BODY_BYTES;
-use crate::relay::{ServedBody, StreamLimits};
+use crate::read_ahead::MAX_READ_AHEAD_BYTES;
+use crate::relay::{ServedBody, StreamLimits, StreamSettings};
 use lanespan_policy::{ClassId, Idempotency, Micros, PlanId, RequestId};
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -31,6 +34,7 @@
         gateway_count: 1,
         max_connections: 8,
         body_memory_bytes: MAX_BODY_BYTES,
+        read_ahead_memory_bytes: 2 * MAX_READ_AHEAD_BYTES,
         stopping,
         streams: Rc::new(StreamLimits::new(None, 0)),
         max_retry_after: None,
@@ -98,6 +102,8 @@
     "GET /api?customer=00000000b4d65521 HTTP/1.1\r\nHost: a\r\nX-Call-Id: 1\r\nX-Call-Class: look\r\n\
     X-Plan: team\r\nX-Budget-Ms: 8000\r\nX-Quota: units=1,spread=1,first=0\r\n\r\n";
 const HEALTH: &str = "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n";
+/// The memory limit of the gateway of a [`TestClient`].
+const GATEWAY_MEMORY_BYTES: usize = 16 << 20;
 /// Time limit of a test. With paused time, a test that hangs fails at once.
 const TEST_LIMIT: Duration = Duration::from_secs(60);
 
@@ -112,17 +118,27 @@
 
 impl TestClient {
     async fn new() -> TestClient {
+        TestClient::with_streams(None).await
+    }
+
+    /// Connects a client to a server with this `streaming` section.
+    async fn with_streams(settings: Option<StreamSettings>) -> TestClient {
         let (stop, stopping) = watch::channel(false);
         let (driver_sender, driver) = mpsc::channel(8);
-        let classes = [("look".to_string(), class(Idempotency::Idempotent))].into();
+        let classes = [
+            ("look".to_string(), class(Idempotency::Idempotent)),
+            ("once".to_string(), class(Idempotency::NonIdempotent)),
+        ];
         let plans = [("team".to_string(), PlanId(0))].into();
-        let context = context(ServerParams { driver: driver_sender, classes, plans, ..params(stopping) });
+        let streams = Rc::new(StreamLimits::new(settings, GATEWAY_MEMORY_BYTES));
+        let params = ServerParams { driver: driver_sender, plans, streams, ..params(stopping) };
+        let context = context(ServerParams { classes: classes.into(), ..params });
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("binding to a free port");
         let address = listener.local_addr().expect("the listener has an address");
         let (client, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
         let client = client.expect("the server is listening");
         client.set_nodelay(true).expect("setting a socket option");
-        let connection = Rc::new(ClientConnection::new(false));
+        let connection = Rc::new(ClientConnection::new(settings.is_some()));
         let served = connection.clone();
         let stream = accepted.expect("the connection is accepted").0;
         let serving =
--- a/crates/gateway/src/tapped.rs
+++ b/crates/gateway/src/tapped.rs
@@ -1,11 +1,11 @@
 //! A socket whose traffic is observed, and which can be read ahead of its HTTP protocol implementation.
 
-use bytes::{Buf, BytesMut};
+use crate::read_ahead::{ReadAheadBudget, ReadAheadBuffer};
 use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -17,21 +17,31 @@
     fn bytes_written(&self, count: usize);
 }
 
-/// Reading ahead stops once at least this number of bytes is buffered. Bounds memory.
-pub const MAX_READ_AHEAD_BYTES: usize = 32 * 1024;
 /// Maximum number of bytes read ahead by one read of the socket.
 const READ_SIZE_BYTES: usize = 4096;
 
+/// What the bytes that have arrived tell about the peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerState {
+    /// The peer has not closed the connection: all that has arrived was read.
+    Connected,
+    /// The peer has closed or reset the connection.
+    Disconnected,
+    /// More has arrived than may be read ahead. A close by the peer would be behind it.
+    Unknown,
+}
+
 /// A socket, and the bytes read ahead from it, which the HTTP connection reads first.
 pub struct Socket {
     stream: TcpStream,
-    read_ahead: BytesMut,
+    read_ahead: ReadAheadBuffer,
+    peer_closed: bool,
 }
 
 impl Socket {
     /// Creates a socket from which nothing was read ahead.
-    pub fn new(stream: TcpStream) -> Socket {
-        Socket { stream, read_ahead: BytesMut::new() }
+    pub fn new(stream: TcpStream, read_ahead: ReadAheadBudget) -> Socket {
+        Socket { stream, read_ahead: ReadAheadBuffer::new(read_ahead), peer_closed: false }
     }
 
     /// Returns the underlying stream.
@@ -39,34 +49,59 @@
         Pin::new(&mut self.stream)
     }
 
-    /// Reads ahead, and is ready once the peer has closed or reset the connection. The HTTP connection would not notice
-    /// this, because it stops reading at bytes that it can't use yet. A close after more than [`MAX_READ_AHEAD_BYTES`]
-    /// unread bytes is not noticed here either.
-    pub fn poll_closed(&mut self, cx: &mut Context) -> Poll<()> {
-        while self.read_ahead.len() < MAX_READ_AHEAD_BYTES {
-            let mut bytes = [0; READ_SIZE_BYTES];
-            let mut buffer = ReadBuf::new(&mut bytes);
-            match Pin::new(&mut self.stream).poll_read(cx, &mut buffer) {
-                Poll::Pending => return Poll::Pending,
-                Poll::Ready(Err(_)) => return Poll::Ready(()),
-                Poll::Ready(Ok(())) if buffer.filled().is_empty() => return Poll::Ready(()),
-                Poll::Ready(Ok(())) => self.read_ahead.extend_from_slice(buffer.filled()),
+    /// Returns the state of the peer. For this it reads ahead, until `limit` bytes are buffered. The HTTP connection
+    /// would not notice a close, because it stops reading at bytes that it can't use yet.
+    pub fn peer_state(&mut self, limit: usize) -> PeerState {
+        let state = loop {
+            if let Some(state) = self.read_ahead_once(limit) {
+                break state;
+            }
+        };
+        self.read_ahead.return_unused();
+        state
+    }
+
+    /// Returns the state of the peer, or `None` if bytes were read, behind which there may be more.
+    fn read_ahead_once(&mut self, limit: usize) -> Option<PeerState> {
+        if self.peer_closed {
+            return Some(PeerState::Disconnected);
+        }
+        let mut bytes = [0; READ_SIZE_BYTES];
+        let room = self.read_ahead.reserve(READ_SIZE_BYTES, limit);
+        if room == 0 {
+            return Some(PeerState::Unknown);
+        }
+        match self.stream.try_read(&mut bytes[..room]) {
+            Ok(count @ 1..) => {
+                self.read_ahead.append(&bytes[..count]);
+                None
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Some(PeerState::Connected),
+            Ok(0) | Err(_) => {
+                self.peer_closed = true;
+                Some(PeerState::Disconnected)
+            }
+        }
+    }
+
+    /// Reads ahead, and is ready once the peer is no longer known to be connected.
+    pub fn poll_peer_left(&mut self, cx: &mut Context, limit: usize) -> Poll<PeerState> {
+        loop {
+            let state = self.peer_state(limit);
+            if state != PeerState::Connected {
+                return Poll::Ready(state);
+            }
+            if ready!(self.stream.poll_read_ready(cx)).is_err() {
+                return Poll::Ready(PeerState::Disconnected);
             }
         }
-        Poll::Pending
     }
 
     fn poll_read(&mut self, cx: &mut Context, buffer: &mut ReadBuf) -> Poll<io::Result<()>> {
         if self.read_ahead.is_empty() {
             return Pin::new(&mut self.stream).poll_read(cx, buffer);
         }
-        let length = self.read_ahead.len().min(buffer.remaining());
-        buffer.put_slice(&self.read_ahead[..length]);
-        self.read_ahead.advance(length);
-        if self.read_ahead.is_empty() {
-            // Frees the buffer's memory.
-            self.read_ahead = BytesMut::new();
-        }
+        self.read_ahead.read_into(buffer);
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/lanespan/tests/sockets/bodies.rs
+++ b/crates/lanespan/tests/sockets/bodies.rs
@@ -165,6 +165,14 @@
     pub fn seen(&self) -> Vec<RecordedRequest> {
         self.seen.lock().expect("unpoisoned lock").clone()
     }
+    /// Waits until the head of a request has arrived.
+    pub fn wait_for_request(&self) {
+        let until = std::time::Instant::now() + TEST_TIMEOUT;
+        while self.seen().is_empty() {
+            assert!(std::time::Instant::now() < until, "timed out waiting for a request");
+            std::thread::yield_now();
+        }
+    }
     /// Returns the body of the last request, once its handler has returned: the client may receive the response before.
     pub fn last_body(&self) -> Option<Digest> {
         let until = std::time::Instant::now() + TEST_TIMEOUT;
--- a/crates/lanespan/tests/upload.rs
+++ b/crates/lanespan/tests/upload.rs
@@ -291,7 +291,10 @@
         if chunks {
             client.send(&format!("{:x}\r\n", 2 * MIB));
         }
-        client.write(&body_part(0, sent)).expect("the gateway reads");
+        client.write(&body_part(0, 1)).expect("the gateway reads");
+        // A client that breaks off before that is noticed, and no attempt begins.
+        backend.wait_for_request();
+        client.write(&body_part(1, sent - 1)).expect("the gateway reads");
         drop(client);
         assert_eq!(bodies.recv_timeout(TEST_TIMEOUT).expect("the end of the upload"), None, "{framing}");
         assert_eq!(backend.seen().len(), 1, "no retry for a disconnected client");
