--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -104,18 +104,11 @@
         self.pending.pop_front()
     }
 
-    /// Returns whether the bytes end within a request: in its head, or in a body of known length.
-    pub fn is_within_request(&self) -> bool {
-        match &self.position {
-            Position::Head(head) => head.has_begun(),
-            Position::Body { .. } => true,
-            Position::Unknown => false,
-        }
-    }
-
-    /// Returns whether every head that was read has been returned by [`Self::next`].
-    pub fn all_returned(&self) -> bool {
-        self.pending.is_empty()
+    /// Returns whether the last bytes are the beginning of a head, and all heads before it have been returned by
+    /// [`Self::next`].
+    pub fn ends_in_next_head(&self) -> bool {
+        let in_head = matches!(&self.position, Position::Head(head) if head.has_begun());
+        in_head && self.pending.is_empty()
     }
 
     /// Processes received bytes.
--- a/crates/gateway/src/framing/tests.rs
+++ b/crates/gateway/src/framing/tests.rs
@@ -41,3 +41,20 @@
     (0..2 * MAX_PENDING).for_each(|_| reader.read(b"GET / HTTP/1.1\r\n\r\n"));
     assert_eq!(std::iter::from_fn(|| reader.next()).count(), MAX_PENDING);
 }
+
+#[test]
+fn only_a_head_behind_all_returned_ones_counts_as_the_next() {
+    let mut reader = FramingReader::default();
+    assert!(!reader.ends_in_next_head(), "nothing was read");
+    reader.read(b"GET /");
+    assert!(reader.ends_in_next_head());
+    reader.read(b" HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\n");
+    assert!(!reader.ends_in_next_head(), "the head before it is still to be returned");
+    reader.next();
+    assert!(reader.ends_in_next_head());
+    reader.read(b"Content-Length: 4\r\n\r\nab");
+    reader.next();
+    assert!(!reader.ends_in_next_head(), "the rest of a body is not the next head");
+    reader.read(b"cdG");
+    assert!(reader.ends_in_next_head());
+}
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -157,8 +157,7 @@
     /// Records that a response is complete, or that its stream has ended. The start of the next request may have arrived
     /// before.
     pub(super) fn response_finished(&self) {
-        let framing = self.framing.borrow();
-        if framing.all_returned() && framing.is_within_request() {
+        if self.framing.borrow().ends_in_next_head() {
             self.enter(Phase::Receiving);
             self.request_started.set(true);
         } else {
--- a/crates/gateway/src/server/tests.rs
+++ b/crates/gateway/src/server/tests.rs
@@ -99,6 +99,16 @@
     result.expect("the test completes in time");
 }
 
+fn stream_settings() -> StreamSettings {
+    StreamSettings {
+        hold_bytes: 64 * 1024,
+        memory_wait: Duration::from_millis(500),
+        min_window_bytes: 1024,
+        window: Duration::from_secs(5),
+        max_duration: Duration::from_secs(60),
+    }
+}
+
 const REQUEST: &str =
     "GET /api?customer=00000000b4d65521 HTTP/1.1\r\nHost: a\r\nX-Call-Id: 1\r\nX-Call-Class: look\r\n\
     X-Plan: team\r\nX-Budget-Ms: 8000\r\nX-Quota: units=1,spread=1,first=0\r\n\r\n";
--- a/crates/gateway/src/server/tests/client_presence.rs
+++ b/crates/gateway/src/server/tests/client_presence.rs
@@ -50,16 +50,6 @@
     )
 }
 
-fn stream_settings() -> StreamSettings {
-    StreamSettings {
-        hold_bytes: 64 * 1024,
-        memory_wait: Duration::from_millis(500),
-        min_window_bytes: 1024,
-        window: Duration::from_secs(5),
-        max_duration: Duration::from_secs(60),
-    }
-}
-
 /// Guards against requests that are forwarded for a client that has gone, because its close is behind more bytes than
 /// the gateway looks at.
 #[tokio::test(flavor = "current_thread")]
--- a/crates/gateway/src/server/tests/eviction.rs
+++ b/crates/gateway/src/server/tests/eviction.rs
@@ -122,16 +122,6 @@
     (waited, kept)
 }
 
-fn streaming() -> StreamSettings {
-    StreamSettings {
-        hold_bytes: 64 * 1024,
-        memory_wait: Duration::from_millis(500),
-        min_window_bytes: 1024,
-        window: Duration::from_secs(5),
-        max_duration: Duration::from_secs(60),
-    }
-}
-
 /// Guards against ordinary requests without an answer while clients that stop in the middle of a request hold all
 /// connections: an eviction that such a connection outlives, as it restarts the time that its client has.
 async fn check(stops_in: StopsIn, streaming: Option<StreamSettings>) {
@@ -166,12 +156,12 @@
 
 #[tokio::test(flavor = "current_thread")]
 async fn clients_that_stop_in_a_head_do_not_shut_others_out_with_streaming_on() {
-    check(StopsIn::Head, Some(streaming())).await;
+    check(StopsIn::Head, Some(stream_settings())).await;
 }
 
 #[tokio::test(flavor = "current_thread")]
 async fn clients_that_stop_in_an_upload_do_not_shut_others_out() {
-    check(StopsIn::Body, Some(streaming())).await;
+    check(StopsIn::Body, Some(stream_settings())).await;
 }
 
 /// Guards against an eviction or a shutdown that gives a client more time for the rest of its request.
