--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Runs this case: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
 # disruption out. Needs the build of the deploy file and review/build-2.sh.
-case=memory
+case=no-length
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 program=$root/target/review-2/stand-in-2
@@ -21,7 +21,7 @@
 }
 stand_in=
 trap 'clean_up; exit 2' HUP INT TERM
-TMPDIR=$folder "$program" "$case" "$here" "$root" &
+TMPDIR=$folder timeout -k 2 110 "$program" "$case" "$here" "$root" &
 stand_in=$!
 wait "$stand_in"
 code=$?
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -21,7 +21,7 @@
 }
 stand_in=
 trap 'clean_up; exit 2' HUP INT TERM
-TMPDIR=$folder "$program" "$case" "$here" "$root" &
+TMPDIR=$folder timeout -k 2 110 "$program" "$case" "$here" "$root" &
 stand_in=$!
 wait "$stand_in"
 code=$?
