Leave calls to discovery alone when a new configuration comes

Cause: the call in progress and the delay before it were one future in an arm of a select, beside the arm that hears of configurations. Each configuration, also one that left discovery where it was, dropped both, and the next call began from nothing.

Change: which calls are made and which answers count is a state machine without I/O (discovery/schedule.rs); calls are driven beside it (discovery/calls.rs). A configuration that leaves discovery in place changes nothing. After a move the calls to earlier addresses go on until a later address has told its list, and a delay that runs is brought forward and never begun anew. So a call is ended only by something that is at least as new.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,54 +1,30 @@
 //! Watches the endpoint list at discovery by long polling, and retries indefinitely after failures.
+//!
+//! [`schedule`] decides when to call and which answers count, [`call`] makes one call, and this module joins the two with
+//! the configuration and the driver. A call in progress is independent of the configuration: it ends by its answer, by
+//! its timeout, or once another call has returned a list that is at least as new.
 
-use super::backoff::{Backoff, MAX_CALL_INTERVAL};
-use super::config::{EndpointList, EndpointListError, Upstreams};
+mod call;
+mod calls;
+mod schedule;
+
+use super::backoff::Backoff;
+use super::config::{EndpointList, Upstreams};
 use super::driver::{DriverEvent, DriverSender};
-use super::http::{Connection, ReceivedResponse, RequestBody};
-use super::memory::MemoryAccount;
-use super::names::{DiscoveryCall, Names};
-use hyper::{header, Request, StatusCode};
-use std::io;
+use super::http::Connection;
+use super::names::Names;
+use call::{Answer, Call, CallError};
+use calls::CallsInProgress;
+use schedule::{CallId, Schedule, Verdict};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout, Instant};
-use tracing::{info, warn};
+use tokio::time::{sleep_until, Instant};
+use tracing::{debug, info, warn};
 
-/// How long discovery may wait for a change before it answers a poll. Together with [`RESPONSE_TIMEOUT`], a silent watch
-/// is detected within 5 s; a change must arrive within 6 s after the watch fell silent.
+/// How long discovery may wait for a change before it answers a poll.
 const MAX_POLL_WAIT: Duration = Duration::from_secs(3);
-/// How long a response may take in addition to the time that discovery may wait. Also the timeout for connecting.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
-/// The longest delay before the first poll at a new address of discovery, set by a reload. Its list must arrive within
-/// 4 s after SIGHUP.
-const MAX_DELAY_AFTER_RELOAD: Duration = Duration::from_secs(3);
-/// The longest list that is read, enough for about 10,000 entries. Bounds the memory for a response. The limit is higher
-/// than for other messages, because the list of a large fleet is long and may be indented.
-const MAX_LIST_BYTES: usize = 4 << 20;
-
-/// Why a poll returned no endpoint list.
-#[derive(Debug, thiserror::Error)]
-enum PollError {
-    #[error("the path of the endpoint list is not a valid URI")]
-    InvalidPath,
-    #[error("connecting to discovery timed out")]
-    ConnectTimeout,
-    #[error("connecting to discovery failed: {0}")]
-    ConnectFailed(io::Error),
-    #[error("timed out waiting for a complete response")]
-    ResponseTimeout,
-    #[error("connection closed before the response was complete")]
-    ConnectionClosed,
-    #[error("response is longer than {} MiB", MAX_LIST_BYTES >> 20)]
-    TooLong,
-    #[error("expected response status 200, found {0}")]
-    Status(StatusCode),
-    #[error("response is not JSON: {0}")]
-    NotJson(serde_json::Error),
-    #[error("response is not an endpoint list: {0}")]
-    NotAnEndpointList(EndpointListError),
-}
 
 /// The parameters of a watch on the endpoint list.
 pub struct Params {
@@ -67,104 +43,135 @@
 /// Watches the endpoint list and forwards lists and changes to the driver, until the driver ends. Discovery continues a
 /// watch whose next poll arrives within 200 ms, so only the first poll and polls after a failure are delayed.
 pub async fn watch(params: Params) {
-    let Params { mut upstreams, driver, mut backoff, known_revision, names } = params;
+    let Params { mut upstreams, driver, backoff, known_revision, names } = params;
     let address = upstreams.borrow_and_update().discovery;
-    let delay = backoff.initial_delay(MAX_CALL_INTERVAL);
-    let poller = Poller { address, names, connection: None, revision: known_revision };
     let mut watcher = Watcher {
-        poller,
-        driver,
-        backoff,
-        delay,
-        poll_started_at: Instant::now(),
+        schedule: Schedule::new(address, known_revision, backoff, Instant::now()),
+        calls: CallsInProgress::default(),
+        idle: None,
+        names,
         failing: false,
         unreadable: 0,
     };
     loop {
-        let polled = tokio::select! {
+        let next_call_at = watcher.schedule.next_call_at();
+        let list = tokio::select! {
             biased;
-            // Switches at once, although the poll at the old address may be pending for seconds.
             Ok(()) = upstreams.changed() => {
                 watcher.switch_to(upstreams.borrow_and_update().discovery);
-                continue;
+                None
+            }
+            (id, result) = watcher.calls.next_ended() => watcher.ended(id, result),
+            () = wait_until(next_call_at) => {
+                watcher.begin_call();
+                None
             }
-            polled = watcher.poll() => polled,
         };
-        match polled {
-            Ok(list) => {
-                if let Some(list) = watcher.accept(list) {
-                    if watcher.driver.send(DriverEvent::EndpointsChanged(list)).await.is_err() {
-                        return;
-                    }
-                }
+        if let Some(list) = list {
+            if driver.send(DriverEvent::EndpointsChanged(list)).await.is_err() {
+                return;
             }
-            Err(error) => watcher.record_failure(&error),
         }
     }
 }
 
+async fn wait_until(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// The state of a watch.
 struct Watcher {
-    poller: Poller,
-    driver: DriverSender,
-    backoff: Backoff,
-    /// The delay before the next poll.
-    delay: Duration,
-    /// When the last poll started.
-    poll_started_at: Instant,
-    /// Whether the last poll failed.
+    schedule: Schedule,
+    calls: CallsInProgress,
+    /// An idle connection to the configured address.
+    idle: Option<Connection>,
+    names: Rc<Names>,
+    /// Whether the last call failed.
     failing: bool,
     /// The number of unreadable entries in the last list.
     unreadable: usize,
 }
 
 impl Watcher {
-    async fn poll(&mut self) -> Result<EndpointList, PollError> {
-        sleep(self.delay).await;
-        self.poll_started_at = Instant::now();
-        self.poller.poll().await
+    fn begin_call(&mut self) {
+        let order = self.schedule.begin_call(Instant::now());
+        debug!(discovery = %order.address, from = order.from, "calling discovery");
+        let call = Call {
+            address: order.address,
+            from: order.from,
+            names: self.names.clone(),
+            idle: self.idle.take(),
+        };
+        self.calls.begin(order.id, call);
+        self.close_ended_calls();
     }
 
-    /// Switches to another address of discovery. The revisions there may be numbered differently, so the complete list is
-    /// fetched.
     fn switch_to(&mut self, address: SocketAddr) {
-        if address == self.poller.address {
-            return;
+        if self.schedule.switch_to(address, Instant::now()) {
+            self.idle = None;
         }
-        self.poller.address = address;
-        self.poller.connection = None;
-        self.poller.revision = None;
-        self.delay = self.backoff.initial_delay(MAX_DELAY_AFTER_RELOAD);
     }
 
-    /// Records a list or changes and returns them. Returns `None` if they do not follow the known revision; the complete
-    /// list is fetched next.
-    fn accept(&mut self, list: EndpointList) -> Option<EndpointList> {
-        if std::mem::take(&mut self.failing) {
-            info!(discovery = %self.poller.address, "endpoint list watch recovered");
+    /// Records how a call ended. Returns its list if it is to be applied.
+    fn ended(&mut self, id: CallId, result: Result<Answer, CallError>) -> Option<EndpointList> {
+        let applied = match result {
+            Ok(answer) => self.answered(id, answer),
+            Err(error) => {
+                self.failed(id, &error);
+                None
+            }
+        };
+        self.close_ended_calls();
+        applied
+    }
+
+    fn answered(&mut self, id: CallId, answer: Answer) -> Option<EndpointList> {
+        let Answer { list, address, connection } = answer;
+        let verdict = self.schedule.answered(id, &list, Instant::now());
+        if address == self.schedule.address() {
+            self.idle = Some(connection);
+            self.log_recovery();
         }
-        if !self.follows(&list) {
-            let known_revision = self.poller.revision.take();
-            warn!(
-                revision = list.revision,
-                known_revision, "endpoint list does not follow the known one, fetching the complete list"
-            );
-            self.delay = self.backoff.retry_delay(self.poll_started_at.elapsed());
-            return None;
+        match verdict {
+            Verdict::Apply => {
+                self.log_unreadable(&list);
+                Some(list)
+            }
+            Verdict::DoesNotFollow { known_revision } => {
+                warn!(
+                    revision = list.revision,
+                    known_revision, "endpoint list does not follow the known one, fetching the complete list"
+                );
+                None
+            }
+            Verdict::Outdated => {
+                debug!(discovery = %address, revision = list.revision, "endpoint list is outdated");
+                None
+            }
         }
-        self.backoff.reset();
-        self.delay = Duration::ZERO;
-        self.poller.revision = Some(list.revision);
-        self.log_unreadable(&list);
-        Some(list)
     }
 
-    /// Returns whether a list can be applied. An older revision is not, because it would undo drains that are already
-    /// known; nor are changes to an unknown list. A complete list that was fetched on purpose is always applied.
-    fn follows(&self, list: &EndpointList) -> bool {
-        match self.poller.revision {
-            Some(known) => list.revision >= known,
-            None => list.complete,
+    fn failed(&mut self, id: CallId, error: &CallError) {
+        let address = self.schedule.address();
+        if !self.schedule.failed(id, Instant::now()) {
+            debug!(%error, "call to an earlier discovery failed");
+        } else if !std::mem::replace(&mut self.failing, true) {
+            warn!(discovery = %address, %error, "endpoint list watch failed, keeping the last known list");
+        }
+    }
+
+    /// Closes the connections of calls that the schedule has ended.
+    fn close_ended_calls(&mut self) {
+        let schedule = &self.schedule;
+        self.calls.retain(|id| schedule.is_in_progress(id));
+    }
+
+    fn log_recovery(&mut self) {
+        if std::mem::take(&mut self.failing) {
+            info!(discovery = %self.schedule.address(), "endpoint list watch recovered");
         }
     }
 
@@ -180,74 +187,4 @@
             );
         }
     }
-
-    fn record_failure(&mut self, error: &PollError) {
-        self.poller.connection = None;
-        if !std::mem::replace(&mut self.failing, true) {
-            warn!(discovery = %self.poller.address, %error, "endpoint list watch failed, keeping the last known list");
-        }
-        self.delay = self.backoff.retry_delay(self.poll_started_at.elapsed());
-    }
-}
-
-/// Polls discovery over one connection.
-struct Poller {
-    address: SocketAddr,
-    names: Rc<Names>,
-    connection: Option<Connection>,
-    /// The revision after which changes are polled. Without one the complete list is fetched.
-    revision: Option<u64>,
-}
-
-impl Poller {
-    async fn poll(&mut self) -> Result<EndpointList, PollError> {
-        let request = self.request()?;
-        let wait = if self.revision.is_some() { MAX_POLL_WAIT } else { Duration::ZERO };
-        let connection = self.connect().await?;
-        let receiving = async {
-            let response = connection.send(request).await?;
-            connection.read_body_up_to(response, MAX_LIST_BYTES, &MemoryAccount::unlimited()).await
-        };
-        let received = timeout(wait + RESPONSE_TIMEOUT, receiving).await;
-        let received = received.map_err(|_| PollError::ResponseTimeout)?;
-        let response = match received.map_err(|_| PollError::ConnectionClosed)? {
-            ReceivedResponse::Complete(response) => response,
-            ReceivedResponse::Partial(..) => return Err(PollError::TooLong),
-        };
-        if response.status() != StatusCode::OK {
-            return Err(PollError::Status(response.status()));
-        }
-        let list = serde_json::from_slice(response.body()).map_err(PollError::NotJson)?;
-        EndpointList::read(&self.names.to_protocol(list)).map_err(PollError::NotAnEndpointList)
-    }
-
-    fn request(&self) -> Result<Request<RequestBody>, PollError> {
-        let DiscoveryCall { path, after_parameter, wait_parameter } = &self.names.discovery;
-        let path = match self.revision {
-            None => path.clone(),
-            Some(revision) => {
-                format!("{path}?{after_parameter}={revision}&{wait_parameter}={}", MAX_POLL_WAIT.as_millis())
-            }
-        };
-        let mut request = Request::new(RequestBody::empty());
-        *request.uri_mut() = path.parse().map_err(|_| PollError::InvalidPath)?;
-        if let Ok(host) = self.address.to_string().parse() {
-            request.headers_mut().insert(header::HOST, host);
-        }
-        Ok(request)
-    }
-
-    /// Returns the connection to discovery, reopened if it is no longer usable.
-    async fn connect(&mut self) -> Result<&mut Connection, PollError> {
-        let mut existing = self.connection.take();
-        let usable = existing.as_mut().is_some_and(|connection| connection.is_usable());
-        let connection = match existing.filter(|_| usable) {
-            Some(connection) => connection,
-            None => {
-                let opened = timeout(RESPONSE_TIMEOUT, Connection::open(self.address)).await;
-                opened.map_err(|_| PollError::ConnectTimeout)?.map_err(PollError::ConnectFailed)?
-            }
-        };
-        Ok(self.connection.insert(connection))
-    }
 }
--- a/crates/gateway/tests/discovery.rs
+++ b/crates/gateway/tests/discovery.rs
@@ -1,82 +1,13 @@
 //! Tests of the watch on discovery's endpoint list: which lists it requests, and how soon changes arrive.
+mod discovery_stub;
+
+use discovery_stub::*;
 use lanespan_gateway::backoff::Backoff;
-use lanespan_gateway::config::document::PoolSection;
-use lanespan_gateway::config::Upstreams;
-use lanespan_gateway::pool::{PoolEnvironment, PoolSettings};
-use lanespan_gateway::{discovery, driver::DriverEvent};
-use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
-/// Reads the next request and returns its path.
-async fn read_request_path(stream: &mut TcpStream) -> String {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(stream.read_u8().await.expect("a request arrives"));
-    }
-    let head = String::from_utf8(head).expect("the head is UTF-8");
-    head.split(' ').nth(1).expect("the request line has a path").to_string()
-}
-
-/// Starts a watch on discovery at an address. Returns the sender that changes the address, and the events that the watch
-/// sends to the driver.
-fn start_watch(
-    discovery: std::net::SocketAddr,
-    known_revision: Option<u64>,
-) -> (watch::Sender<Upstreams>, mpsc::Receiver<DriverEvent>) {
-    start_watch_with(discovery, known_revision, Backoff::new(1, 0))
-}
-
-/// Starts a watch with the delays of `backoff`.
-fn start_watch_with(
-    discovery: std::net::SocketAddr,
-    known_revision: Option<u64>,
-    backoff: Backoff,
-) -> (watch::Sender<Upstreams>, mpsc::Receiver<DriverEvent>) {
-    let environment = PoolEnvironment {
-        default_connections: 8,
-        max_connections: 8,
-        gateway_count: 1,
-        max_descriptors: 32,
-        dial_timeout: Duration::from_secs(1),
-        backend_idle_timeout: Duration::from_secs(1),
-    };
-    let pool =
-        PoolSettings::from_section(&PoolSection::default(), &environment).expect("the defaults are valid");
-    let upstreams = Upstreams { discovery, counter: None, pool, streaming: None, config_digest: 0 };
-    let (upstreams_sender, upstreams) = watch::channel(upstreams);
-    let (driver, events) = mpsc::channel(8);
-    let params = discovery::Params { upstreams, driver, backoff, known_revision, names: Rc::default() };
-    tokio::task::spawn_local(discovery::watch(params));
-    (upstreams_sender, events)
-}
-
-async fn bind() -> (TcpListener, std::net::SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a port");
-    let address = listener.local_addr().expect("the listener has an address");
-    (listener, address)
-}
-
-fn response(list: &str) -> String {
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())
-}
-
-/// Returns a response with an empty list of this revision.
-fn empty_list(revision: u64, complete: bool) -> String {
-    response(&format!(r#"{{"revision":{revision},"complete":{complete},"members":[]}}"#))
-}
-
-/// Receives the next list sent to the driver. Returns its revision and number of entries.
-async fn next_list(events: &mut mpsc::Receiver<DriverEvent>) -> (u64, usize) {
-    match events.recv().await {
-        Some(DriverEvent::EndpointsChanged(list)) => (list.revision, list.endpoints.len()),
-        _ => panic!("expected a list"),
-    }
-}
-
 /// Returns the paths of the first two requests of a watch.
 async fn first_paths(known_revision: Option<u64>) -> Vec<String> {
     let (listener, address) = bind().await;
@@ -97,13 +28,6 @@
     assert_eq!(local.run_until(first_paths(None)).await, ["/catalog/members".to_string(), poll_path(9)]);
 }
 
-/// Runs a test with a time limit. Under paused time, a test that hangs reaches the limit at once.
-async fn run_with_limit(test: impl std::future::Future<Output = ()>) {
-    let local = LocalSet::new();
-    let limited = tokio::time::timeout(Duration::from_secs(120), local.run_until(test));
-    limited.await.expect("the test ends in time");
-}
-
 /// A change must arrive within this time after the watch fell silent, or after discovery became reachable again.
 const MAX_CHANGE_DELAY: Duration = Duration::from_secs(6);
 
--- /dev/null
+++ b/crates/lanespan/tests/slow_services.rs
@@ -0,0 +1,111 @@
+//! A discovery and a counter that answer late, at a running gateway. The stubs answer when something has happened, and not
+//! after a time, so that the tests hold for every delay.
+#[path = "sockets/harness.rs"]
+mod harness;
+
+use harness::*;
+use std::path::Path;
+use std::sync::{Arc, Condvar, Mutex};
+
+/// Holds calls until the test or a later call opens it.
+#[derive(Clone, Default)]
+struct Gate(Arc<(Mutex<bool>, Condvar)>);
+
+impl Gate {
+    fn open(&self) {
+        *self.0 .0.lock().expect("unpoisoned lock") = true;
+        self.0 .1.notify_all();
+    }
+    fn wait(&self) {
+        let is_open = self.0 .0.lock().expect("unpoisoned lock");
+        drop(self.0 .1.wait_timeout_while(is_open, TEST_TIMEOUT, |is_open| !*is_open));
+    }
+}
+
+/// Replaces the configuration file and waits until the gateway has applied it. The log line comes before the tasks hear
+/// of the new configuration, and the health request is answered behind them.
+fn reload(node: &Node, path: &Path, discovery: &Stub, counter: &Stub) {
+    std::fs::write(path, config(discovery.address, counter.address)).expect("the file is written");
+    node.signal("HUP");
+    node.wait_for_line(&format!("discovery {}, counter {}", discovery.address, counter.address));
+    node.client().exchange("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n");
+}
+
+/// Returns whether a call requests changes since this revision.
+fn is_watch_from(request: &Message, revision: u64) -> bool {
+    request.line.contains(&format!("from={revision}&"))
+}
+
+/// Guards against configurations that end the call to an unchanged discovery: while they came faster than it answered,
+/// no drain was ever heard.
+#[test]
+fn an_answer_of_discovery_is_heard_although_configurations_come_before_it() {
+    let backends = [Stub::start(|_| http("200 OK", "ok")), Stub::start(|_| http("200 OK", "ok"))];
+    let [first, second] = [0, 1].map(|index| backends[index].address);
+    let list =
+        endpoint_list(41, true, &[member("s-1", first, "ready"), member("s-2", second, "ready")].join(","));
+    let drain = endpoint_list(42, false, &member("s-2", second, "draining"));
+    let answered_late = Gate::default();
+    let gate = answered_late.clone();
+    let discovery = Stub::start(move |request| {
+        if is_watch_from(request, 41) {
+            gate.wait();
+            http("200 OK", &drain)
+        } else if is_watch_from(request, 42) {
+            Reply::Silence
+        } else {
+            http("200 OK", &list)
+        }
+    });
+    let counters = [0; 4].map(|_| counter());
+    let path = config_file(&config(discovery.address, counters[0].address));
+    let node = Node::spawn(platform_command_from(&path));
+    node.wait_ready();
+    discovery.wait_for("a watch", |log| log.requests.len() == 2);
+    for counter in &counters[1..] {
+        reload(&node, &path, &discovery, counter);
+    }
+    answered_late.open();
+    discovery.wait_for("the next call", |log| log.requests.len() > 2);
+    let lines: Vec<String> = discovery.requests().into_iter().map(|request| request.line).collect();
+    assert!(lines[2].contains("from=42&"), "the answer to the one watch from 41 is heard: {lines:?}");
+    let before = backends[1].requests().len();
+    for _ in 0..8 {
+        assert_eq!(node.client().exchange(&request("look", 2000)).status(), 200);
+    }
+    assert_eq!(backends[1].requests().len(), before, "nothing is sent to the draining backend");
+}
+
+/// The name of the plan with the small quota in the requests of [`request`].
+const SMALL_PLAN: &str = "X-Plan: small";
+/// A total beyond the small quota. A request whose call gets this reply is rejected; without a reply it is served.
+const EXHAUSTED: &str = "5000";
+
+fn small_request(customer: usize) -> String {
+    let text = request("look", 3000).replace("X-Plan: team", SMALL_PLAN);
+    text.replace("00000000b4d65521", &format!("{customer:016x}"))
+        .replace("9b1f03aa5c7e2d41", &format!("{customer:016x}"))
+}
+
+/// Guards against a configuration that ends a call to the counter: its reply would count as lost.
+#[test]
+fn the_reply_of_a_counter_is_heard_after_a_configuration_has_named_another() {
+    let backend = Stub::start(|_| http("200 OK", "ok"));
+    let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
+    let replied_late = Gate::default();
+    let gate = replied_late.clone();
+    let slow_counter = Stub::start(move |_| {
+        gate.wait();
+        http("200 OK", EXHAUSTED)
+    });
+    let path = config_file(&config(discovery.stub.address, slow_counter.address));
+    let node = Node::spawn(platform_command_from(&path));
+    node.wait_ready();
+    let mut client = node.client();
+    client.send(&small_request(1));
+    slow_counter.wait_for("a call", |log| log.requests.len() == 1);
+    reload(&node, &path, &discovery.stub, &counter());
+    replied_late.open();
+    assert_eq!(client.read_response().expect("a response").status(), 429, "the quota is exhausted");
+    assert!(backend.requests().is_empty());
+}
