Send waiting counter calls to the counter that the configuration names

A request whose call waited for a connection to the counter when SIGHUP named another one was decided without a count. Its call went to the old counter, which accepts no new connection, and counted towards the circuit breaker.

Cause: a call took its counter when it was ordered, and not when it was sent.

Change: the connections to each address are held apart (CounterAddress). A move closes the old one, and calls that wait for a connection or fail to get one go to the new address. Calls that have been sent stay, so none is made twice.

--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -10,6 +10,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Semaphore;
 use tokio::time::{timeout, Instant};
@@ -44,24 +45,35 @@
     pub names: names::CounterCall,
 }
 
-/// A client of the counter at one address.
+/// A client of the counter at the address that the configuration names.
 pub struct Counter {
-    address: SocketAddr,
     params: Params,
+    current: RefCell<Rc<CounterAddress>>,
+}
+
+/// The connections to one address of the counter. The limit on them holds for each address.
+struct CounterAddress {
+    address: SocketAddr,
     idle: RefCell<Vec<Connection>>,
+    /// Closed once the configuration names another address.
     connections: Semaphore,
 }
 
 impl Counter {
     /// Creates a client without connections. They are opened when calls need them.
     pub fn new(address: SocketAddr, params: Params) -> Counter {
-        let connections = Semaphore::new(params.max_connections);
-        Counter { address, params, idle: RefCell::default(), connections }
+        let current = CounterAddress::new(address, params.max_connections);
+        Counter { params, current: RefCell::new(Rc::new(current)) }
     }
 
-    /// Returns the address of the counter.
-    pub fn address(&self) -> SocketAddr {
-        self.address
+    /// Switches to another address. Calls that have been sent continue at the old one, and calls that wait for a
+    /// connection to it, which it would refuse, go to the new one.
+    pub fn set_address(&self, address: SocketAddr) {
+        if self.current.borrow().address == address {
+            return;
+        }
+        let new = CounterAddress::new(address, self.params.max_connections);
+        self.current.replace(Rc::new(new)).retire();
     }
 
     /// Adds an amount to a key. A call that times out closes its connection, so that a late reply is not taken as the
@@ -83,33 +95,72 @@
         lifetime: Micros,
         sent: &Cell<bool>,
     ) -> CounterReply {
-        // Acquiring fails only if the semaphore is closed, which never happens.
-        let Ok(_permit) = self.connections.acquire().await else { return Outcome::NotSent.into() };
         loop {
-            let pooled = self.pop_idle();
+            let target = self.current.borrow().clone();
+            let Ok(_permit) = target.connections.acquire().await else { continue };
+            let pooled = target.pop_idle();
             let reused = pooled.is_some();
             let mut connection = match pooled {
                 Some(connection) => connection,
-                None => match Connection::open(self.address).await {
+                None => match Connection::open(target.address).await {
                     Ok(connection) => connection,
+                    Err(_) if target.is_retired() => continue,
                     Err(_) => return Outcome::ConnectFailed.into(),
                 },
             };
             sent.set(true);
-            match connection.call(self.request(key, amount, lifetime)).await {
+            match connection.call(self.request(target.address, key, amount, lifetime)).await {
                 Ok(response) => {
                     let reply = read_reply(response.status(), response.body());
-                    self.release(connection, &reply);
+                    target.release(connection, &reply);
                     return reply;
                 }
                 // The counter may have closed a pooled connection just before the write; the next one is tried.
-                Err(CallError::NotSent) if reused => sent.set(false),
+                Err(CallError::NotSent) if reused || target.is_retired() => sent.set(false),
                 Err(CallError::NotSent) => return Outcome::ConnectFailed.into(),
                 Err(CallError::Broken) => return Outcome::ConnectionReset.into(),
             }
         }
     }
 
+    fn request(
+        &self,
+        address: SocketAddr,
+        key: CounterKey,
+        amount: f64,
+        lifetime: Micros,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.method_mut() = Method::POST;
+        let names::CounterCall { path, amount_parameter, lifetime_parameter } = &self.params.names;
+        let lifetime_ms = (lifetime.0 / 1_000).max(1);
+        // All parts consist of unreserved URI characters, so the URI is always valid.
+        let uri = format!("{path}/{}?{amount_parameter}={amount}&{lifetime_parameter}={lifetime_ms}", key.0);
+        if let Ok(uri) = uri.parse() {
+            *request.uri_mut() = uri;
+        }
+        if let Ok(host) = address.to_string().parse() {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        request
+    }
+}
+
+impl CounterAddress {
+    fn new(address: SocketAddr, max_connections: usize) -> CounterAddress {
+        CounterAddress { address, idle: RefCell::default(), connections: Semaphore::new(max_connections) }
+    }
+
+    /// Closes the idle connections and ends the wait of calls that have none.
+    fn retire(&self) {
+        self.connections.close();
+        self.idle.borrow_mut().clear();
+    }
+
+    fn is_retired(&self) -> bool {
+        self.connections.is_closed()
+    }
+
     fn pop_idle(&self) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         while let Some(mut connection) = idle.pop() {
@@ -121,29 +172,13 @@
     }
 
     /// Returns a connection to the pool. It is dropped after a reply with an unexpected status or without a number,
-    /// because later replies on it may be unreadable as well.
+    /// because later replies on it may be unreadable as well, and once the address is no longer configured.
     fn release(&self, mut connection: Connection, reply: &CounterReply) {
-        if reply.outcome != Outcome::ServerError && connection.is_usable() {
+        if !self.is_retired() && reply.outcome != Outcome::ServerError && connection.is_usable() {
             connection.idle_since = Instant::now();
             self.idle.borrow_mut().push(connection);
         }
     }
-
-    fn request(&self, key: CounterKey, amount: f64, lifetime: Micros) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.method_mut() = Method::POST;
-        let names::CounterCall { path, amount_parameter, lifetime_parameter } = &self.params.names;
-        let lifetime_ms = (lifetime.0 / 1_000).max(1);
-        // All parts consist of unreserved URI characters, so the URI is always valid.
-        let uri = format!("{path}/{}?{amount_parameter}={amount}&{lifetime_parameter}={lifetime_ms}", key.0);
-        if let Ok(uri) = uri.parse() {
-            *request.uri_mut() = uri;
-        }
-        if let Ok(host) = self.address.to_string().parse() {
-            request.headers_mut().insert(header::HOST, host);
-        }
-        request
-    }
 }
 
 fn read_reply(status: StatusCode, body: &Bytes) -> CounterReply {
--- a/crates/gateway/src/driver/counter_calls.rs
+++ b/crates/gateway/src/driver/counter_calls.rs
@@ -34,13 +34,13 @@
         CounterCalls { counter, params, replies: ReplySequencer::default(), driver }
     }
 
-    /// Switches to the counter at another address. Calls in flight continue at the old address, whose idle connections
-    /// are closed when the last of these calls ends.
+    /// Switches to the counter at another address.
     pub(super) fn set_address(&mut self, address: Option<SocketAddr>) {
         // Removing the counter from the configuration requires a restart.
         let Some(address) = address else { return };
-        if self.counter.as_ref().map(|counter| counter.address()) != Some(address) {
-            self.counter = Some(Rc::new(Counter::new(address, self.params.clone())));
+        match &self.counter {
+            Some(counter) => counter.set_address(address),
+            None => self.counter = Some(Rc::new(Counter::new(address, self.params.clone()))),
         }
     }
 
--- a/crates/lanespan/tests/slow_services.rs
+++ b/crates/lanespan/tests/slow_services.rs
@@ -109,3 +109,42 @@
     assert_eq!(client.read_response().expect("a response").status(), 429, "the quota is exhausted");
     assert!(backend.requests().is_empty());
 }
+
+/// A number of descriptors that leaves one connection to the counter.
+const ONE_COUNTER_CONNECTION: &str = "\"sockets\":31";
+/// Adds a plan without a rate, for which the counter is not called.
+const UNLIMITED_PLAN: &str = "\"plans\":[{\"name\":\"unlimited\",\"per_second\":0.0,\"price\":1.0},";
+
+/// Guards against calls that wait for a connection to the counter that the configuration no longer names. It accepts none,
+/// so that they fail.
+#[test]
+fn a_call_that_waits_for_a_connection_goes_to_the_counter_that_the_configuration_names() {
+    let backend = Stub::start(|_| http("200 OK", "ok"));
+    let discovery = Discovery::start(&member("s-1", backend.address, "ready"));
+    let replied_late = Gate::default();
+    let gate = replied_late.clone();
+    // The first call is held; the connection ends with its reply.
+    let slow_counter = Stub::start(move |_| {
+        gate.wait();
+        Reply::RawThenClose("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nConnection: close\r\n\r\n1".into())
+    });
+    let text = config(discovery.stub.address, slow_counter.address)
+        .replace("\"sockets\":1024", ONE_COUNTER_CONNECTION)
+        .replace("\"plans\":[", UNLIMITED_PLAN);
+    let path = config_file(&text);
+    let node = Node::spawn(platform_command_from(&path));
+    node.wait_ready();
+    let (mut first, mut second) = (node.client(), node.client());
+    first.send(&small_request(1));
+    slow_counter.wait_for("a call", |log| log.requests.len() == 1);
+    second.send(&small_request(2));
+    // The gateway has ordered the call of the second request when a later request is answered that needs no call.
+    let unlimited = request("look", 3000).replace("X-Plan: team", "X-Plan: unlimited");
+    assert_eq!(node.client().exchange(&unlimited).status(), 200);
+    let counter = Stub::start(|_| http("200 OK", EXHAUSTED));
+    reload(&node, &path, &discovery.stub, &counter);
+    replied_late.open();
+    assert_eq!(first.read_response().expect("a response").status(), 200);
+    assert_eq!(second.read_response().expect("a response").status(), 429, "the new counter replies");
+    assert_eq!(slow_counter.requests().len(), 1);
+}
