Call a slow discovery again without giving up the call that it may yet answer

A gateway without a saved list never got ready before it.

Cause: a late answer and a lost call were one state. Each call for the complete list was ended after 2 s and the next one began from nothing, so a discovery that takes longer than that for each call could never be heard.

Change: a late call goes on and another one is made beside it; the first answer ends the others, and a later poll from the same revision goes on as the next one. Four calls at most, the oldest stays; 30 s each. The times before a call are derived from the targets now, less 2.5 s for the answer: 3.5 s between calls (5 s before), 1.5 s after SIGHUP (3 s before), a silent watch replaced within 3.5 s (5 s before). First calls are placed by the gateway's number, which spreads 300 of them over 3.5 s within the peak that the tests allow; chance does not.

--- a/crates/gateway/src/backoff/tests.rs
+++ b/crates/gateway/src/backoff/tests.rs
@@ -3,8 +3,8 @@
 /// Latest start of the next call for its response to arrive within the 6 s in which gateways must receive a change.
 const MAX_CALL_START: Duration = Duration::from_secs(5);
 
-fn callers(count: u64, gateways: u32) -> Vec<Backoff> {
-    (0..count).map(|seed| Backoff::new(seed, gateways)).collect()
+fn callers(count: u32, gateways: u32) -> Vec<Backoff> {
+    (0..count).map(|index| Backoff::new(u64::from(index), gateways).numbered(index)).collect()
 }
 
 /// Returns the maximum number of calls within any 300 ms.
@@ -41,7 +41,7 @@
 #[test]
 fn a_fleet_of_any_size_spreads_its_calls_evenly_within_the_maximum_interval() {
     for fleet in [300, 4_700] {
-        let mut callers = callers(u64::from(fleet), fleet);
+        let mut callers = callers(fleet, fleet);
         let first: Vec<Duration> =
             callers.iter_mut().map(|backoff| backoff.initial_delay(MAX_CALL_INTERVAL)).collect();
         assert!(first.iter().all(|start| *start <= MAX_CALL_START));
@@ -69,3 +69,27 @@
         (0..10).all(|_| fleet.iter_mut().all(|backoff| backoff.retry_delay(Duration::ZERO) <= 2 * MIN_BOUND))
     );
 }
+
+#[test]
+fn any_part_of_a_fleet_spreads_its_first_calls_evenly() {
+    let first_calls = |numbers: std::ops::Range<u32>| -> Vec<Duration> {
+        let numbered = numbers.map(|index| Backoff::new(7, 300).numbered(index));
+        numbered.map(|mut backoff| backoff.initial_delay(MAX_CALL_INTERVAL)).collect()
+    };
+    // A tenth of the fleet, as in a rolling restart, has an even share of 3 calls in 300 ms.
+    for tenth in 0..10 {
+        let calls = first_calls(30 * tenth..30 * (tenth + 1));
+        assert!(max_calls_in_300_ms(calls.clone()) <= 5, "{tenth}: {calls:?}");
+    }
+    let even_share = 300 * 3 / 35;
+    assert!(max_calls_in_300_ms(first_calls(0..300)) <= even_share + 3);
+}
+
+#[test]
+fn gateways_without_a_number_spread_their_first_calls_by_chance() {
+    let mut fleet: Vec<Backoff> = (0..100).map(|seed| Backoff::new(seed, 4_700)).collect();
+    let first: Vec<Duration> =
+        fleet.iter_mut().map(|backoff| backoff.initial_delay(MAX_CALL_INTERVAL)).collect();
+    assert!(first.iter().all(|delay| *delay <= MAX_CALL_INTERVAL));
+    assert!(max_calls_in_300_ms(first) < 25, "the even share is 9");
+}
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,8 +1,9 @@
 //! Watches the endpoint list at discovery by long polling, and retries indefinitely after failures.
 //!
 //! [`schedule`] decides when to call and which answers count, [`call`] makes one call, and this module joins the two with
-//! the configuration and the driver. A call in progress is independent of the configuration: it ends by its answer, by
-//! its timeout, or once another call has returned a list that is at least as new.
+//! the configuration and the driver. A call in progress is independent of the configuration and of its own lateness: when
+//! its answer is late another call is made beside it, and it ends by its answer or once another call has returned a list
+//! that is at least as new.
 
 mod call;
 mod calls;
@@ -15,7 +16,7 @@
 use super::names::Names;
 use call::{Answer, Call, CallError};
 use calls::CallsInProgress;
-use schedule::{CallId, Schedule, Verdict};
+use schedule::{CallId, CallOrder, Schedule, Step, Verdict};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,7 +55,7 @@
         unreadable: 0,
     };
     loop {
-        let next_call_at = watcher.schedule.next_call_at();
+        let next_step_at = watcher.schedule.next_step_at();
         let list = tokio::select! {
             biased;
             Ok(()) = upstreams.changed() => {
@@ -62,8 +63,8 @@
                 None
             }
             (id, result) = watcher.calls.next_ended() => watcher.ended(id, result),
-            () = wait_until(next_call_at) => {
-                watcher.begin_call();
+            () = sleep_until(next_step_at) => {
+                watcher.step();
                 None
             }
         };
@@ -75,13 +76,6 @@
     }
 }
 
-async fn wait_until(at: Option<Instant>) {
-    match at {
-        Some(at) => sleep_until(at).await,
-        None => std::future::pending().await,
-    }
-}
-
 /// The state of a watch.
 struct Watcher {
     schedule: Schedule,
@@ -96,8 +90,14 @@
 }
 
 impl Watcher {
-    fn begin_call(&mut self) {
-        let order = self.schedule.begin_call(Instant::now());
+    fn step(&mut self) {
+        match self.schedule.step(Instant::now()) {
+            Step::Call(order) => self.begin_call(order),
+            Step::Late { calls } => self.log_late(calls),
+        }
+    }
+
+    fn begin_call(&mut self, order: CallOrder) {
         debug!(discovery = %order.address, from = order.from, "calling discovery");
         let call = Call {
             address: order.address,
@@ -169,6 +169,14 @@
         self.calls.retain(|id| schedule.is_in_progress(id));
     }
 
+    /// Logs that discovery does not answer. One late answer is common where discovery is slow, and not worth a line.
+    fn log_late(&mut self, calls: usize) {
+        if calls > 1 && !std::mem::replace(&mut self.failing, true) {
+            let discovery = self.schedule.address();
+            warn!(%discovery, calls, "endpoint list watch gets no answer, keeping the last known list");
+        }
+    }
+
     fn log_recovery(&mut self) {
         if std::mem::take(&mut self.failing) {
             info!(discovery = %self.schedule.address(), "endpoint list watch recovered");
--- a/crates/gateway/src/discovery/call.rs
+++ b/crates/gateway/src/discovery/call.rs
@@ -12,8 +12,9 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// How long a response may take in addition to the time that discovery may wait. Also the timeout for connecting.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// When a call is given up. Other calls follow it long before; this bounds how long a lost connection is kept. A gateway
+/// must be ready within 30 s, so an answer that takes longer is of no use.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 /// The longest list that is read, enough for about 10,000 entries. Bounds the memory for a response. The limit is higher
 /// than for other messages, because the list of a large fleet is long and may be indented.
 const MAX_LIST_BYTES: usize = 4 << 20;
@@ -23,12 +24,10 @@
 pub(super) enum CallError {
     #[error("the path of the endpoint list is not a valid URI")]
     InvalidPath,
-    #[error("connecting to discovery timed out")]
-    ConnectTimeout,
     #[error("connecting to discovery failed: {0}")]
     ConnectFailed(io::Error),
     #[error("timed out waiting for a complete response")]
-    ResponseTimeout,
+    Timeout,
     #[error("connection closed before the response was complete")]
     ConnectionClosed,
     #[error("response is longer than {} MiB", MAX_LIST_BYTES >> 20)]
@@ -62,16 +61,16 @@
 
 impl Call {
     /// Makes the call. Dropping the future closes the connection.
-    pub(super) async fn make(mut self) -> Result<Answer, CallError> {
+    pub(super) async fn make(self) -> Result<Answer, CallError> {
+        timeout(CALL_TIMEOUT, self.exchange()).await.unwrap_or(Err(CallError::Timeout))
+    }
+
+    async fn exchange(mut self) -> Result<Answer, CallError> {
         let request = self.request()?;
-        let wait = if self.from.is_some() { MAX_POLL_WAIT } else { Duration::ZERO };
         let mut connection = self.connect().await?;
-        let receiving = async {
-            let response = connection.send(request).await?;
-            connection.read_body_up_to(response, MAX_LIST_BYTES, &MemoryAccount::unlimited()).await
-        };
-        let received = timeout(wait + RESPONSE_TIMEOUT, receiving).await;
-        let received = received.map_err(|_| CallError::ResponseTimeout)?;
+        let response = connection.send(request).await.map_err(|_| CallError::ConnectionClosed)?;
+        let received =
+            connection.read_body_up_to(response, MAX_LIST_BYTES, &MemoryAccount::unlimited()).await;
         let response = match received.map_err(|_| CallError::ConnectionClosed)? {
             ReceivedResponse::Complete(response) => response,
             ReceivedResponse::Partial(..) => return Err(CallError::TooLong),
@@ -107,7 +106,6 @@
                 return Ok(connection);
             }
         }
-        let opened = timeout(RESPONSE_TIMEOUT, Connection::open(self.address)).await;
-        opened.map_err(|_| CallError::ConnectTimeout)?.map_err(CallError::ConnectFailed)
+        Connection::open(self.address).await.map_err(CallError::ConnectFailed)
     }
 }
--- a/crates/gateway/src/discovery/schedule.rs
+++ b/crates/gateway/src/discovery/schedule.rs
@@ -1,15 +1,22 @@
 //! Decides when discovery is called, which calls stay in progress, and which answers are applied. A state machine without
 //! I/O: its owner makes the calls and reports how they ended.
 
-use crate::backoff::{Backoff, MAX_CALL_INTERVAL};
+use super::MAX_POLL_WAIT;
+use crate::backoff::{Backoff, MAX_CALL_INTERVAL, SLOW_RESPONSE};
 use crate::config::EndpointList;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The longest delay before the first call at a new address of discovery, set by a reload. Its list must arrive within
-/// 4 s after SIGHUP.
-const MAX_DELAY_AFTER_RELOAD: Duration = Duration::from_secs(3);
+/// A list from a new address of discovery must arrive within this time after SIGHUP.
+const MAX_MOVE_TIME: Duration = Duration::from_secs(4);
+/// The longest delay before the first call at a new address of discovery, set by a reload.
+const MAX_DELAY_AFTER_RELOAD: Duration = MAX_MOVE_TIME.saturating_sub(SLOW_RESPONSE);
+/// The answer to a request for the complete list is late after this time.
+const LATE_LIST: Duration = Duration::from_secs(2);
+/// The answer to a poll is late if discovery exceeds the time that it may wait by this. A silent watch and a quiet one
+/// look alike until then, and a silent one must be replaced within `MAX_CALL_INTERVAL`.
+const LATE_POLL: Duration = MAX_POLL_WAIT.saturating_add(Duration::from_millis(250));
 /// The maximum number of calls in progress. Each holds a connection to discovery.
 const MAX_CALLS_IN_PROGRESS: usize = 4;
 
@@ -21,7 +28,28 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Generation(u64);
 
-/// A call that must be made now.
+/// What must be done now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Step {
+    /// A call is made.
+    Call(CallOrder),
+    /// The answer to the newest call is late. The call goes on, and another one follows.
+    Late {
+        /// The number of calls to the configured address that are in progress, all of them late.
+        calls: usize,
+    },
+}
+
+/// The next step, unless an answer or a configuration comes first.
+#[derive(Debug, Clone, Copy)]
+enum NextStep {
+    /// A call begins.
+    Call(Instant),
+    /// The newest call becomes late.
+    Late(Instant),
+}
+
+/// A call that must be made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct CallOrder {
     pub(super) id: CallId,
@@ -63,8 +91,7 @@
     revision: Option<u64>,
     /// The generation of the last applied list; `None` before the first list.
     applied: Option<Generation>,
-    /// When the next call begins. `None` while a call at `address` is in progress.
-    next_call_at: Option<Instant>,
+    next_step: NextStep,
     /// The calls in progress, the oldest first.
     calls: Vec<CallInProgress>,
     last_id: CallId,
@@ -79,14 +106,14 @@
         now: Instant,
     ) -> Schedule {
         let first = Generation(0);
-        let next_call_at = Some(now + backoff.initial_delay(MAX_CALL_INTERVAL));
+        let next_step = NextStep::Call(now + backoff.initial_delay(MAX_CALL_INTERVAL));
         Schedule {
             backoff,
             address,
             generation: first,
             revision: known_revision,
             applied: known_revision.map(|_| first),
-            next_call_at,
+            next_step,
             calls: Vec::new(),
             last_id: CallId(0),
         }
@@ -97,9 +124,11 @@
         self.address
     }
 
-    /// Returns when the next call begins; `None` if it depends on a call in progress.
-    pub(super) fn next_call_at(&self) -> Option<Instant> {
-        self.next_call_at
+    /// Returns when to call [`Schedule::step`], unless an answer or a configuration comes first.
+    pub(super) fn next_step_at(&self) -> Instant {
+        match self.next_step {
+            NextStep::Call(at) | NextStep::Late(at) => at,
+        }
     }
 
     /// Returns whether a call is to stay in progress.
@@ -107,11 +136,21 @@
         self.calls.iter().any(|call| call.id == id)
     }
 
-    /// Begins the next call.
-    pub(super) fn begin_call(&mut self, now: Instant) -> CallOrder {
+    /// Takes the step that is due.
+    pub(super) fn step(&mut self, now: Instant) -> Step {
+        match self.next_step {
+            NextStep::Call(_) => Step::Call(self.begin_call(now)),
+            NextStep::Late(_) => {
+                self.schedule_retry(self.newest_started_at().unwrap_or(now), now);
+                Step::Late { calls: self.current_calls().count() }
+            }
+        }
+    }
+
+    fn begin_call(&mut self, now: Instant) -> CallOrder {
         if self.calls.len() >= MAX_CALLS_IN_PROGRESS {
-            // The oldest call stays, because it has waited the longest. Without this a rapid sequence of new addresses
-            // would end each call before its answer.
+            // The oldest call stays, because it has waited the longest. Without this a rapid sequence of new addresses,
+            // or a discovery that is slower than all calls but one may be, would end each call before its answer.
             self.calls.remove(1);
         }
         self.last_id.0 += 1;
@@ -122,7 +161,8 @@
             started_at: now,
         };
         self.calls.push(call);
-        self.next_call_at = None;
+        let late_after = if call.from.is_some() { LATE_POLL } else { LATE_LIST };
+        self.next_step = NextStep::Late(now + late_after);
         CallOrder { id: call.id, address: self.address, from: call.from }
     }
 
@@ -137,7 +177,7 @@
         self.generation.0 += 1;
         self.revision = None;
         let call_at = now + self.backoff.initial_delay(MAX_DELAY_AFTER_RELOAD);
-        self.next_call_at = Some(self.next_call_at.map_or(call_at, |pending| pending.min(call_at)));
+        self.bring_call_forward(call_at);
         true
     }
 
@@ -149,13 +189,16 @@
         }
         if !follows(self.revision, list) {
             let known_revision = self.revision.take();
-            self.schedule_retry(call, now);
+            self.calls.retain(|other| other.generation != call.generation);
+            self.schedule_retry(call.started_at, now);
             return Verdict::DoesNotFollow { known_revision };
         }
         self.backoff.reset();
         self.revision = Some(list.revision);
-        self.next_call_at = Some(now);
-        self.applied(call);
+        self.applied(call, list);
+        if self.current_calls().next().is_none() {
+            self.next_step = NextStep::Call(now);
+        }
         Verdict::Apply
     }
 
@@ -172,7 +215,7 @@
         if !is_applied {
             return Verdict::Outdated;
         }
-        self.applied(call);
+        self.applied(call, list);
         Verdict::Apply
     }
 
@@ -180,21 +223,45 @@
     pub(super) fn failed(&mut self, id: CallId, now: Instant) -> bool {
         let Some(call) = self.remove(id) else { return false };
         let is_current = call.generation == self.generation;
-        if is_current {
-            self.schedule_retry(call, now);
+        let has_successor = self.current_calls().any(|other| other.id > call.id);
+        if is_current && !has_successor {
+            self.schedule_retry(call.started_at, now);
         }
         is_current
     }
 
-    fn schedule_retry(&mut self, call: CallInProgress, now: Instant) {
-        let delay = self.backoff.retry_delay(now.saturating_duration_since(call.started_at));
-        self.next_call_at = Some(now + delay);
+    /// Schedules a call after one that has failed or is late.
+    fn schedule_retry(&mut self, started_at: Instant, now: Instant) {
+        let delay = self.backoff.retry_delay(now.saturating_duration_since(started_at));
+        self.bring_call_forward(now + delay);
+    }
+
+    /// Schedules a call, unless an earlier one is scheduled.
+    fn bring_call_forward(&mut self, at: Instant) {
+        self.next_step = match self.next_step {
+            NextStep::Call(pending) => NextStep::Call(pending.min(at)),
+            NextStep::Late(_) => NextStep::Call(at),
+        };
     }
 
-    /// Ends the calls whose answers can't be newer than the list that `call` returned.
-    fn applied(&mut self, call: CallInProgress) {
+    /// Ends the calls whose answers can't be newer than the list that `call` returned. A later poll that continues from
+    /// its revision goes on as the next one.
+    fn applied(&mut self, call: CallInProgress, list: &EndpointList) {
         self.applied = Some(call.generation);
-        self.calls.retain(|other| other.generation > call.generation);
+        self.calls.retain(|other| {
+            let continues = other.id > call.id && other.from == Some(list.revision);
+            other.generation > call.generation || (other.generation == call.generation && continues)
+        });
+    }
+
+    /// Iterates over the calls to the configured address, the oldest first.
+    fn current_calls(&self) -> impl Iterator<Item = &CallInProgress> {
+        self.calls.iter().filter(|call| call.generation == self.generation)
+    }
+
+    /// Returns when the newest call to the configured address started.
+    fn newest_started_at(&self) -> Option<Instant> {
+        self.current_calls().last().map(|call| call.started_at)
     }
 
     fn remove(&mut self, id: CallId) -> Option<CallInProgress> {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -122,6 +122,7 @@
     plans: HashMap<String, PlanId>,
     max_request_units: f64,
     gateway_count: u32,
+    gateway_index: u32,
     retry_after: Option<Micros>,
     longest_deadline: Micros,
 }
@@ -146,6 +147,7 @@
             plans: config.site.plans.iter().map(|(name, &id)| (name.clone(), PlanId(id))).collect(),
             max_request_units: settings.max_request_units,
             gateway_count: settings.gateway_count,
+            gateway_index: settings.gateway_index,
             retry_after: settings.retry_after.then_some(settings.max_retry_after),
             longest_deadline: settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default(),
         }
@@ -228,7 +230,7 @@
 
 /// Spawns the tasks that watch the endpoint list and apply configuration changes to services and limits.
 fn follow_upstreams(setup: &Setup, driver: &Driver, signals: &Signals) {
-    let backoff = Backoff::new(setup.seed, setup.gateways_calling_discovery);
+    let backoff = Backoff::new(setup.seed, setup.gateways_calling_discovery).numbered(setup.gateway_index);
     spawn_local(discovery::watch(discovery::Params {
         upstreams: signals.upstreams.clone(),
         driver: driver.sender(),
--- a/crates/lanespan/tests/slow_services.rs
+++ b/crates/lanespan/tests/slow_services.rs
@@ -148,3 +148,55 @@
     assert_eq!(second.read_response().expect("a response").status(), 429, "the new counter replies");
     assert_eq!(slow_counter.requests().len(), 1);
 }
+
+/// Starts a discovery that answers each request for the complete list when the next one arrives. However long a gateway
+/// waits before it calls again, the answer comes later than that.
+fn discovery_that_is_later_than_the_next_call(revision: u64, members: &str) -> Stub {
+    let list = endpoint_list(revision, true, members);
+    let lists_requested = Arc::<(Mutex<usize>, Condvar)>::default();
+    Stub::start(move |request| {
+        if request.line.contains("from=") {
+            return Reply::Silence;
+        }
+        let mut requested = lists_requested.0.lock().expect("unpoisoned lock");
+        *requested += 1;
+        let own = *requested;
+        lists_requested.1.notify_all();
+        let next = lists_requested.1.wait_timeout_while(requested, TEST_TIMEOUT, |count| *count == own);
+        drop(next.expect("unpoisoned lock"));
+        http("200 OK", &list)
+    })
+}
+
+/// Guards against a timeout that ends each call to a slow discovery: a gateway without a list never got ready.
+#[test]
+fn a_gateway_without_a_list_gets_ready_although_discovery_is_later_than_the_next_call() {
+    let backend = Stub::start(|_| http("200 OK", "ok"));
+    let members = member("s-1", backend.address, "ready");
+    let discovery = discovery_that_is_later_than_the_next_call(41, &members);
+    let node = Node::spawn(platform_command(&config(discovery.address, counter().address)));
+    node.wait_ready();
+    assert_eq!(node.client().exchange(&request("look", 2000)).status(), 200);
+    discovery
+        .wait_for("a watch from the list", |log| log.requests.iter().any(|call| is_watch_from(call, 41)));
+}
+
+/// Guards against the same timeout after a configuration has moved discovery: no drain was ever heard.
+#[test]
+fn a_drain_is_heard_from_a_moved_discovery_that_is_later_than_the_next_call() {
+    let backends = [Stub::start(|_| http("200 OK", "ok")), Stub::start(|_| http("200 OK", "ok"))];
+    let [first, second] = [0, 1].map(|index| member(&format!("s-{index}"), backends[index].address, "ready"));
+    let discovery = Discovery::start(&[first.clone(), second].join(","));
+    let draining = member("s-1", backends[1].address, "draining");
+    let slow = discovery_that_is_later_than_the_next_call(3, &[first, draining].join(","));
+    let counter = counter();
+    let path = config_file(&config(discovery.stub.address, counter.address));
+    let node = Node::spawn(platform_command_from(&path));
+    node.wait_ready();
+    reload(&node, &path, &slow, &counter);
+    slow.wait_for("a watch from the list", |log| log.requests.iter().any(|call| is_watch_from(call, 3)));
+    for _ in 0..8 {
+        assert_eq!(node.client().exchange(&request("look", 2000)).status(), 200);
+    }
+    assert!(backends[1].requests().is_empty(), "nothing is sent to the draining backend");
+}
