Keep room for calls to a new discovery, and prefer the newest answer

Found by reading, while the limit of four calls was thought through: silent calls to a discovery that has been replaced hold their places, so that a rapid sequence of addresses leaves each new call too little time. They make room first now. Of several answers that are there at once the newest is read first, which saves the call that would fetch what it adds.

the_oldest_call_survives_a_rapid_sequence_of_addresses covers the places; it was rewritten for this, and keeps that the oldest call to a new address is answered.

--- a/crates/gateway/src/discovery/calls.rs
+++ b/crates/gateway/src/discovery/calls.rs
@@ -24,10 +24,11 @@
         self.calls.retain(|(id, _)| keep(*id));
     }
 
-    /// Waits until a call ends, and removes it. Waits forever while there is none. Dropping the future loses nothing.
+    /// Waits until a call ends, and removes it. Of several that have ended the newest is first, because its answer is. Waits
+    /// forever while there is none. Dropping the future loses nothing.
     pub(super) async fn next_ended(&mut self) -> (CallId, Result<Answer, CallError>) {
         poll_fn(|cx| {
-            for index in 0..self.calls.len() {
+            for index in (0..self.calls.len()).rev() {
                 if let Poll::Ready(result) = self.calls[index].1.as_mut().poll(cx) {
                     let (id, _) = self.calls.remove(index);
                     return Poll::Ready((id, result));
--- a/crates/gateway/src/discovery/schedule.rs
+++ b/crates/gateway/src/discovery/schedule.rs
@@ -149,9 +149,7 @@
 
     fn begin_call(&mut self, now: Instant) -> CallOrder {
         if self.calls.len() >= MAX_CALLS_IN_PROGRESS {
-            // The oldest call stays, because it has waited the longest. Without this a rapid sequence of new addresses,
-            // or a discovery that is slower than all calls but one may be, would end each call before its answer.
-            self.calls.remove(1);
+            self.calls.remove(self.least_useful_call());
         }
         self.last_id.0 += 1;
         let call = CallInProgress {
@@ -166,6 +164,17 @@
         CallOrder { id: call.id, address: self.address, from: call.from }
     }
 
+    /// Returns the index of the call that makes room for another one: one to the address whose list is in use, if another
+    /// address has replaced it, else the second oldest. The oldest stays, because it has waited the longest. Without this
+    /// a rapid sequence of new addresses, or a discovery that is slower than the other calls may be, would end each call
+    /// before its answer.
+    fn least_useful_call(&self) -> usize {
+        let is_replaced = |call: &CallInProgress| {
+            call.generation != self.generation && Some(call.generation) == self.applied
+        };
+        self.calls.iter().position(is_replaced).unwrap_or(1)
+    }
+
     /// Switches to another address of discovery, from which the complete list is requested. Calls in progress at earlier
     /// addresses continue until there is a list from a later one, so that a rapid sequence of addresses hides no change.
     /// A delay that has begun is not prolonged, for the same reason. Returns false if the address has not changed.
--- a/crates/gateway/src/discovery/schedule/tests.rs
+++ b/crates/gateway/src/discovery/schedule/tests.rs
@@ -58,19 +58,21 @@
 #[test]
 fn the_oldest_call_survives_a_rapid_sequence_of_addresses() {
     let mut clocked = Clocked::new(Some(7));
-    let first = clocked.begin();
-    let moved = clocked.move_to(2);
-    let calls: Vec<CallOrder> = (3..40).map(|port| clocked.move_to(port)).collect();
-    let moves = std::iter::once(&moved).chain(&calls);
-    let in_progress = moves.filter(|call| clocked.schedule.is_in_progress(call.id)).count();
-    assert_eq!(in_progress, MAX_CALLS_IN_PROGRESS - 1, "besides the oldest one");
-    assert!(clocked.schedule.is_in_progress(first.id));
-    assert_eq!(clocked.answer(first, &changes(8)), Verdict::Apply);
-    let oldest = calls.iter().find(|call| clocked.schedule.is_in_progress(call.id)).expect("calls remain");
+    let silent_watches: Vec<CallOrder> = (0..MAX_CALLS_IN_PROGRESS).map(|_| clocked.begin()).collect();
+    let calls: Vec<CallOrder> = (2..40).map(|port| clocked.move_to(port)).collect();
+    assert!(
+        !silent_watches.iter().any(|call| clocked.schedule.is_in_progress(call.id)),
+        "calls to the address whose list is in use make room first"
+    );
+    let in_progress: Vec<&CallOrder> =
+        calls.iter().filter(|call| clocked.schedule.is_in_progress(call.id)).collect();
+    assert_eq!(in_progress.len(), MAX_CALLS_IN_PROGRESS);
+    assert_eq!(in_progress[0].id, calls[0].id);
+    assert_eq!(clocked.answer(calls[0], &complete(3)), Verdict::Apply);
     for port in 40..80 {
         clocked.move_to(port);
     }
-    assert_eq!(clocked.answer(*oldest, &complete(3)), Verdict::Apply);
+    assert_eq!(clocked.answer(*in_progress[1], &complete(4)), Verdict::Apply);
 }
 
 #[test]
