Give each listener in the tests of discovery a loopback address of its own

Found by running those tests in a loop beside ten busy processes: five runs failed with "bind the same port: Address already in use", two ended by their time limit, and one hung.

Cause, in the tests: a test closes its listener and binds the same port again. Between the two another test of the process may get the port, whose gateway is then called by the wrong watch, and with tens of thousands of closed connections in TIME-WAIT an outgoing connection may hold it.

Change: bind() takes a new address of 127.100.0.0/16 for each listener. No check and no bound is touched.

--- a/crates/gateway/tests/discovery_stub/mod.rs
+++ b/crates/gateway/tests/discovery_stub/mod.rs
@@ -6,7 +6,9 @@
 use lanespan_gateway::config::Upstreams;
 use lanespan_gateway::pool::{PoolEnvironment, PoolSettings};
 use lanespan_gateway::{discovery, driver::DriverEvent};
+use std::net::Ipv4Addr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -56,8 +58,12 @@
     (upstreams_sender, events)
 }
 
+/// Listens on a loopback address that no other listener of this process has. A test closes its listener and binds the
+/// same port again; on a shared address another test may get that port meanwhile, or an outgoing connection may use it.
 pub async fn bind() -> (TcpListener, std::net::SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a port");
+    static BOUND: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = BOUND.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let listener = TcpListener::bind((Ipv4Addr::new(127, 100, high, low), 0)).await.expect("bind a port");
     let address = listener.local_addr().expect("the listener has an address");
     (listener, address)
 }
